Learn the idle answer time from 150 answers, not from the first 31

The module took the fleet's idle answer time from the first 31 answers. It now waits until the slow mean has seen as many answers as it remembers.

--- a/src/brain.cpp
+++ b/src/brain.cpp
@@ -519,7 +519,8 @@
       if (base_ > 0) over_aim = std::min(over_aim, kOutlier * base_);
       norm_ += (norm_ > 0 ? kNormGain : 1.0) * (over_aim - norm_);
       slow_norm_ += std::max(kIdleGain, 1.0 / ++answers_) * (over_aim - slow_norm_);
-      if (answers_ > 1 / kNormGain)
+      // Danger: the first answers to come are the fastest. An idle time from them alone is too short for good.
+      if (answers_ > 1 / kIdleGain)
         base_ = base_ <= 0 ? slow_norm_ : std::min(slow_norm_, base_ + kBaseGain * (slow_norm_ - base_));
     }
     if (o == Outcome::kFull) return;  // danger: one server, or one plan there, is not the fleet
--- a/tests/gateway_test.cpp
+++ b/tests/gateway_test.cpp
@@ -478,6 +478,42 @@
             200u + all<CancelAttempt>(out).size());
 }
 
+// Far more demand than one gateway's servers take, for `steps` of 10 ms. Each attempt is answered after the
+// time that `answer` gives for its number. The most attempts that were out at once in the last tenth.
+template <typename Answer>
+int most_out(Driver& d, int steps, Answer answer) {
+  struct Out {
+    SendAttempt attempt;
+    Micros sent, until;
+  };
+  std::vector<Out> out;
+  int number = 0, most = 0;
+  auto take = [&](Micros now, const std::vector<Action>& actions) {
+    for (const SendAttempt& a : all<SendAttempt>(actions)) out.push_back({a, now, now + answer(number++)});
+  };
+  for (int i = 1; i <= steps; ++i) {
+    const Micros now = i * 10 * kMs;
+    take(now, d.run(now));
+    std::vector<Out> due;
+    for (const Out& o : out)
+      if (o.until <= now) due.push_back(o);
+    std::erase_if(out, [&](const Out& o) { return o.until <= now; });
+    for (const Out& o : due) take(now, d.end(now, o.attempt, Outcome::kOk, 0, now - o.sent));
+    for (int k = 0; k < 8; ++k) take(now, d.arrive(now, label("m", i) + label("-", k)));
+    if (i > steps * 9 / 10) most = std::max(most, int(out.size()));
+  }
+  return most;
+}
+
+TEST(Overload, TheFirstAndFastestAnswersAreNotTakenForTheIdleTime) {
+  Settings s = basic_settings();
+  s.gateways = 1;
+  s.plans[0].rate = s.plans[0].burst = 1e6;
+  Driver d(s);
+  // The quick requests of the first moment are answered first; the usual one takes twice as long.
+  EXPECT_GT(most_out(d, 600, [](int n) { return (n < 40 ? 20 : 40) * kMs; }), 18);
+}
+
 TEST(Servers, AFullAnswerForOnePlanIsTriedElsewhereAndCutsNoLimit) {
   Settings s = basic_settings();
   s.plans[0].rate = s.plans[0].burst = 1000;
