Count a server's part of the limit against the sum of speeds, not of weights

Each server may take its part of the in-flight limit, by its speed. The speed was divided by how slow the server looks, the sum it was compared with was not. Answers over what their units let expect come to more than one on average, so every server looked slow, each part rounded down to a single attempt, the gateway had no more out than there were servers, and the limit, which grows only while its room is used, stayed where it was at the start.

--- a/src/brain.cpp
+++ b/src/brain.cpp
@@ -404,7 +404,7 @@
     double weights = 0;
     for (const auto& [name, s] : servers_) {
       if (s.usable) ++(s.ejected_until > now ? ejected : listed);
-      if (s.usable && s.ejected_until <= now) weights += weight(s) * warmth(now, s);
+      if (s.usable && s.ejected_until <= now) weights += weight(s) * warmth(now, s) / slowness(now, s, mean);
     }
     // Danger: a whole zone gone may be more than may be ejected; its servers then come last, not in turn.
     const bool last_resort = ejected > kMaxEjected * (listed + ejected);
--- a/tests/gateway_test.cpp
+++ b/tests/gateway_test.cpp
@@ -492,7 +492,7 @@
     for (const SendAttempt& a : all<SendAttempt>(actions)) out.push_back({a, now, now + answer(number++)});
   };
   for (int i = 1; i <= steps; ++i) {
-    const Micros now = i * 10 * kMs;
+    const Micros now = kS + i * 10 * kMs;  // the servers have stood idle before
     take(now, d.run(now));
     std::vector<Out> due;
     for (const Out& o : out)
@@ -514,6 +514,23 @@
   EXPECT_GT(most_out(d, 600, [](int n) { return (n < 40 ? 20 : 40) * kMs; }), 18);
 }
 
+TEST(Overload, ServersThatAllLookSlowByTheirUnitsStillHaveTheirPartsOfTheLimit) {
+  Settings s = basic_settings();
+  s.gateways = 2;
+  s.plans[0].rate = s.plans[0].burst = 1e6;
+  Driver d(s, Driver::up({"a", "b", "c", "d", "e", "f", "g", "h", "i", "j"}));
+  // Small requests take as long as large ones: answers over what units let expect come to more than one.
+  Micros now = kS;
+  for (int i = 0; i < 400; ++i, now += 50 * kMs) {
+    d.run(now);
+    for (const SendAttempt& a : all<SendAttempt>(d.arrive(now, label("r", i), i % 2 ? 1 : 3)))
+      d.end(now + 40 * kMs, a, Outcome::kOk, 0, 40 * kMs);
+  }
+  std::size_t sent = 0;
+  for (int i = 0; i < 40; ++i) sent += all<SendAttempt>(d.arrive(now, label("f", i), 2)).size();
+  EXPECT_GT(sent, 15u);  // ten on average, and what chance may add; not one a server
+}
+
 TEST(Servers, AFullAnswerForOnePlanIsTriedElsewhereAndCutsNoLimit) {
   Settings s = basic_settings();
   s.plans[0].rate = s.plans[0].burst = 1000;
