Split a customer's quota and burst by the design's slice, not whole at every gateway

Each gateway kept the customer's whole burst and gave itself the whole room that the others left. A spike was let in once by each gateway of the set before any total told of it, and units sent on beyond a quota cost their full worth. Now the slice is the design's: own demand and an even part of the room, or the share of the quota once the total reaches it, with own and others' demand smoothed over the same time; the store is capped at that part of the burst.

--- a/src/brain.cpp
+++ b/src/brain.cpp
@@ -19,15 +19,13 @@
 // ---- Tuned values -------------------------------------------------------------------------------------
 constexpr double kSecond = 1e6;           // microseconds
 constexpr Micros kPeriod = 1'000'000;     // us; the design's "about a second" between re-splits
-constexpr double kMaxHorizon = 5;         // s; longest smoothing of others' demand, even for a deep burst
+constexpr double kMaxHorizon = 5;         // s; longest smoothing of demand, even for a deep burst
 constexpr Micros kEpoch = 16 * kPeriod;   // a counter name serves so long; a new one frees a lost count
 constexpr Micros kKnownFor = 4 * kEpoch;  // a customer or a total older than this is forgotten
-constexpr double kOwnMemory = 2;       // s; smoothing of own demand, which tells of a spike before any total
-constexpr double kIdleGuess = 0.5;     // of the quota: asked by others, before any total is known
+constexpr double kIdleGuess = 0.5;     // of the quota: a customer that asked no more has its whole burst left
 constexpr double kKnownWeight = 0.25;  // of a request of a known customer, for the need of a call
 constexpr double kFresh = 0.25;        // of whole quotas: names hold less while a counter is new
 constexpr double kFreshKeep = 0.95;    // of that evidence, a total
-constexpr double kCreditMost = 2;      // requests that a slice past the quota may save up for
 constexpr double kOpenSpread = 0.85;   // deviations that the mean stays under an open cap
 constexpr double kOpenLeast = 0.3;     // of an open cap, that mean at the least
 constexpr double kOpenBurst = 1;       // s of an open cap's rate that may be met at once
@@ -96,11 +94,10 @@
   Micros at = 0;         // up to when own demand has faded and the store has filled
   double own = 0;        // units a second asked here, refused requests included; fading mean
   double others = 0;     // units a second asked elsewhere, as last measured
-  double store = 0;      // units the customer has left, as far as this gateway can tell
-  double credit = 0;     // units of our slice not yet spent, while the whole store is empty
+  double whole = 0;      // units the customer has left, as far as this gateway can tell
+  double store = 0;      // units of them that are ours to let in
   double uncounted = 0;  // units asked here that no call has carried yet
   int asks = 0;          // requests that they came in
-  double last_units = 0;
   Micros called_at = 0;
   Micros read_at = 0;      // last believed total; 0: none
   std::int64_t epoch = 0;  // the counter name that `seen` belongs to
@@ -116,7 +113,7 @@
 
 class QuotaSlices {
  public:
-  QuotaSlices(const Settings& settings, std::uint64_t seed) : settings_(settings), random_(seed) {}
+  explicit QuotaSlices(const Settings& settings) : settings_(settings) {}
 
   Customer& find(Micros now, const RequestArrived& r, const PlanSettings& plan) {
     Customer& c = customers_[r.customer];
@@ -131,64 +128,64 @@
       c.at = c.ceiling_at = now;
 
       c.ceiling = 0;  // danger: a predecessor of this process may just have spent our part
+      c.whole = burst(c);
       c.store = depth(c);
-      c.others = c.rate * (1 - 1.0 / c.set_size);
     }
     c.last_use = now;
     return c;
   }
 
   double burst(const Customer& c) const { return c.plan->rate > 0 ? c.plan->burst : c.rate * kOpenBurst; }
-  // Danger: each of a hundred gateways would let all in of a customer that no total has told of. Until then
-  // it has an even part, and one more of the burst; a larger request passes when that is full.
-  double depth(const Customer& c) const {
-    return burst(c) * (c.read_at > 0 ? 1 : std::min(1.0, 2.0 / c.set_size));
-  }
+  // Units a second that are ours: our own demand and an even part of the room that the total leaves, or our
+  // share of the quota once the total reaches it. Danger: each of a hundred gateways would let all in of a
+  // customer that no total has told of; until then it has an even part.
+  double slice(const Customer& c) const {
+    if (c.read_at <= 0) return c.rate / c.set_size;
+    const double total = c.own + c.others;
+    return total < c.rate ? c.own + (c.rate - total) / c.set_size : c.rate * c.own / std::max(total, 1e-9);
+  }
+  // Danger: a whole burst kept at each gateway is let in once by each of them before any total tells.
+  double depth(const Customer& c) const { return burst(c) * slice(c) / std::max(c.rate, 1e-9); }
   // Danger: a quota of a few units a second sees nought or a whole burst in one second; demand is smoothed
   // over as long as the burst lasts, or customers inside their quota would be refused.
   double memory(const Customer& c) const {
     return std::clamp(burst(c) / std::max(c.rate, 1e-9), 1.0, kMaxHorizon);
   }
 
-  // Fills the store by what the others leave of the quota. Danger: a hundredth of a store, kept apart, holds
-  // less than one request; so each gateway keeps its view of the whole, which others draw from as measured.
+  double fade(double seconds, const Customer& c) const { return std::exp(-seconds / memory(c)); }
+
+  // Fills the store by the slice, and our view of the whole by what the others leave of the quota.
   void advance(Micros now, Customer& c) {
     const double dt = double(now - c.at) / kSecond;
     if (dt <= 0) return;
     c.at = now;
-    c.own *= std::exp(-dt / kOwnMemory);
-    c.store = std::min(depth(c), std::max(std::min(c.store, 0.0), c.store + (c.rate - c.others) * dt));
+    c.own *= fade(dt, c);
+    c.store = std::min(depth(c), c.store + slice(c) * dt);
+    c.whole = std::min(burst(c), std::max(std::min(c.whole, 0.0), c.whole + (c.rate - c.others) * dt));
   }
 
-  // Demand arrives. Past the quota the slice is the quota times our own demand over the total: what room has
-  // not filled in comes with the demand itself, which is right for one request an hour too.
+  // Demand arrives, let in or not.
   void count(Micros now, Customer& c, double units) {
     advance(now, c);
-    const double quota = c.rate, room = std::max(0.0, quota - c.others);
-    if (c.read_at > 0 && c.store < units && c.own + c.others > quota) {
-      const double by_room = c.own > 0 ? room / c.own : 0;
-      c.credit += units * std::clamp(quota / (c.own + c.others) - by_room, 0.0, 1.0);
-      c.credit = std::min(c.credit, kCreditMost * units);
-    }
-    c.own += units / kOwnMemory;
+    c.own += units / memory(c);
     c.uncounted += units;
-    c.last_units = units;
     ++c.asks;
   }
 
-  // Is this request within the slice? One larger than the whole store passes when that is full.
+  // Is this request within the slice? One larger than the store can hold passes when that is full.
   bool covers(const Customer& c, double units) const {
-    return c.rate <= 0 || std::max(c.store, c.credit) >= std::min(units, depth(c)) - 1e-9;
+    return c.rate <= 0 || c.store >= std::min(units, depth(c)) - 1e-9;
   }
   void take(Customer& c, double units) {
-    if (c.rate > 0) (c.store >= std::min(units, depth(c)) - 1e-9 ? c.store : c.credit) -= units;
+    if (c.rate <= 0) return;
+    c.store -= units;
+    c.whole -= units;
   }
 
   // When the slice will have filled enough. Danger: a client that returns after the aim takes units from
   // fresh requests and earns nothing; the advice stays short.
   Micros retry_after(const Customer& c, double units, Micros aim) {
-    const double fill = std::max({c.rate - c.others, c.rate * c.own / (c.own + c.others + 1e-9), 1e-6});
-    const double lacking = std::max(0.0, units - std::max(c.store, c.credit)) / fill * kSecond;
+    const double lacking = std::max(0.0, units - c.store) / std::max(slice(c), 1e-6) * kSecond;
     const double most = std::min(double(settings_.max_retry_after), kAdviseShare * double(aim));
     return std::max(settings_.tick, Micros(std::min(most, lacking)));
   }
@@ -276,17 +273,12 @@
     if (all >= c.added * 0.999 && dt > 0) {
       advance(now, c);
       const bool first = c.read_at <= 0;
-      if (first) c.others = kIdleGuess * c.rate;
-
-      c.others += (1 - std::exp(-dt / memory(c))) * ((all - c.added) / dt - c.others);
-      if (first) {
-        // With nothing left a gateway's first request passes as often as its slice says, not never.
-        const double asked = (c.others + amount / std::max(dt, memory(c))) / c.rate;
-        const double full = std::clamp((1 - asked) / (1 - kIdleGuess), 0.0, 1.0);
-        c.store = burst(c) * full;
-        if (full <= 0) c.credit = c.last_units * (uniform() + 1 / asked);
-      }
+      c.others += (1 - fade(dt, c)) * ((all - c.added) / dt - c.others);
+      // What a customer asked elsewhere before we met it tells how much of its burst can be left.
+      if (first) c.whole *= std::clamp((1 - c.others / c.rate) / (1 - kIdleGuess), 0.0, 1.0);
       c.read_at = now;
+      // What is left is split by the share of the demand; what a slice has saved up meanwhile stays.
+      c.store = std::min(depth(c), std::max(c.store, c.whole * slice(c) / c.rate));
     }
     c.seen = a.total;
     c.seen_at = now;
@@ -296,10 +288,8 @@
 
  private:
   bool silent() const { return in_a_row_ >= kDownAfter; }
-  double uniform() { return double((random_ = mix(random_)) >> 11) * 0x1p-53; }
 
   const Settings& settings_;
-  std::uint64_t random_;
   double call_rate_ = kCallsFirst, calls_ = kCallsFirst;
   double crowd_ = 0;  // part of the calls that failed or took long; fading mean
   Micros calls_at_ = 0;
@@ -519,7 +509,7 @@
       if (base_ > 0) over_aim = std::min(over_aim, kOutlier * base_);
       norm_ += (norm_ > 0 ? kNormGain : 1.0) * (over_aim - norm_);
       slow_norm_ += std::max(kIdleGain, 1.0 / ++answers_) * (over_aim - slow_norm_);
-      // Danger: the first answers to come are the fastest. An idle time from them alone is too short for good.
+      // Danger: the first answers to come are the fastest; an idle time from them alone is too short.
       if (answers_ > 1 / kIdleGain)
         base_ = base_ <= 0 ? slow_norm_ : std::min(slow_norm_, base_ + kBaseGain * (slow_norm_ - base_));
     }
@@ -577,10 +567,7 @@
 class Gateway::Impl {
  public:
   Impl(Settings settings, std::uint64_t seed)
-      : settings_(std::move(settings)),
-        seed_(seed),
-        slices_(settings_, mix(seed)),
-        servers_(settings_, mix(seed + 1)) {
+      : settings_(std::move(settings)), seed_(seed), slices_(settings_), servers_(settings_, mix(seed + 1)) {
     settings_.gateways = std::max(1, settings_.gateways);
     means_.resize(settings_.classes.size() + 1);
     units_.resize(means_.size());
