Hold a customer's open cap over its gateways together, not at each of them

The cap on attempts out at once holds for a customer over all gateways. Each gateway compared it with its own attempts only, so a set of four let out up to four times the cap, and each try past it earns nothing and costs its worth. The places are split evenly over the set now, what does not divide to the first ones.

--- a/src/brain.cpp
+++ b/src/brain.cpp
@@ -89,6 +89,7 @@
   const PlanSettings* plan = nullptr;
   std::uint64_t key = 0;
   int set_size = 1;
+  int place = 0;    // ours among the gateways of its set, from 0
   double rate = 0;  // of the quota: units, or attempt-seconds under an open cap, a second
   Micros last_use = 0;
   Micros at = 0;         // up to when own demand has faded and the store has filled
@@ -119,6 +120,8 @@
     Customer& c = customers_[r.customer];
     if (born_ == 0) born_ = now - settings_.tick;
     c.set_size = r.set_size > 0 ? std::min(r.set_size, settings_.gateways) : settings_.gateways;
+    c.place =
+        (settings_.position - r.first_gateway % settings_.gateways + settings_.gateways) % settings_.gateways;
     if (c.plan != &plan) {
       c.plan = &plan;
       c.key = hash_text(r.customer);
@@ -312,6 +315,14 @@
   return c.ceiling >= units;
 }
 
+// Danger: the cap holds over all gateways of the set, and each sees only its own attempts. An even part of
+// its places, what does not divide going to the first of the set; none is left without one.
+bool open_cap_covers(const Customer& c) {
+  const int cap = c.plan->max_open;
+  if (cap <= 0) return true;
+  return c.open < std::max(1, cap / c.set_size + (c.place < cap % c.set_size ? 1 : 0));
+}
+
 // ---- 3. Servers ---------------------------------------------------------------------------------------
 struct Server {
   ServerEntry entry;
@@ -685,7 +696,7 @@
     Customer& c = *r.customer;
     const PlanSettings& plan = *c.plan;
     slices_.advance(now_, c);
-    const bool within = slices_.covers(c, r.quota_units) && (plan.max_open <= 0 || c.open < plan.max_open);
+    const bool within = slices_.covers(c, r.quota_units) && open_cap_covers(c);
     // A plan that earns more beyond its quota than it costs is let through while servers have room.
     const bool excess = plan.over_worth > plan.over_cost && servers_.pressure(now_) < kRelaxed;
     if (!ceiling_covers(now_, c, r.units) || (!within && !excess)) {
--- a/tests/gateway_test.cpp
+++ b/tests/gateway_test.cpp
@@ -391,6 +391,26 @@
   EXPECT_LE(out, 11 * 2);  // never more than the cap here
 }
 
+TEST(OpenCap, GatewaysTogetherStayUnderIt) {
+  for (const auto& [cap, gateways] : {std::pair{2, 2}, {5, 2}, {7, 3}, {3, 4}}) {
+    Settings s = basic_settings();
+    s.gateways = gateways;
+    s.plans[0].rate = s.plans[0].burst = 1000;
+    s.plans[0].max_open = cap;
+    int out = 0;
+    for (s.position = 0; s.position < gateways; ++s.position) {
+      Driver d(s);
+      for (int i = 0; i < 20; ++i) {
+        RequestArrived r = Driver::request(label("x", i), kMs);
+        r.set_size = gateways;
+        out += int(all<SendAttempt>(d.step(kMs, {r})).size());
+      }
+    }
+    EXPECT_LE(out, std::max(cap, gateways)) << cap << " over " << gateways;  // none is shut out, though
+    EXPECT_GE(out, cap) << cap << " over " << gateways;
+  }
+}
+
 TEST(Rules, NothingGoesToADrainingOrRemovedServer) {
   Driver d;
   ServerListUpdate u;
