Read Billed-Units from the answers of servers and hand them to the module

Where units are settled afterwards, the first good answer tells the true units. The upstream reads it now, nonsense counts as not said, and the driver passes it on.

--- a/src/net/driver.cpp
+++ b/src/net/driver.cpp
@@ -109,6 +109,7 @@
   e.outcome = result.outcome;
   e.duration = clock_.now() - a.sent;
   e.load = result.load;
+  e.billed = result.billed;
   if (result.outcome == Outcome::kOk) {
     Answer served;
     served.status = 200;
--- a/src/net/upstream.cpp
+++ b/src/net/upstream.cpp
@@ -61,6 +61,14 @@
   return load;
 }
 
+// What cannot be read as units counts as not said.
+double parse_billed(std::string_view text) {
+  double units = 0;
+  const auto [stop, ec] = std::from_chars(text.data(), text.data() + text.size(), units);
+  return ec == std::errc() && stop == text.data() + text.size() && std::isfinite(units) && units > 0 ? units
+                                                                                                     : 0;
+}
+
 // Never-ran only when the protocol proves it: a plain 503 or 504 may come from a server that did the work.
 Outcome outcome_of(const http::response<http::string_body>& answer) {
   if (answer.result() == http::status::ok) return Outcome::kOk;
@@ -248,6 +256,8 @@
   result.outcome = outcome_of(answer);
   const auto load = answer["Endpoint-Load-Metrics"];
   result.load = parse_load({load.data(), load.size()});
+  const auto billed = answer["Billed-Units"];
+  result.billed = parse_billed({billed.data(), billed.size()});
   if (result.outcome == Outcome::kOk) result.body = std::move(answer.body());
   // An answer that overtook the request leaves a connection in the middle of it.
   const bool keep = c->state == Connection::State::kWaiting && answer.keep_alive() && c->pending.empty();
--- a/src/net/upstream.hpp
+++ b/src/net/upstream.hpp
@@ -40,7 +40,8 @@
 struct AttemptResult {
   Outcome outcome = Outcome::kReset;
   LoadReport load;
-  std::string body;  // of a kOk
+  std::string body;   // of a kOk
+  double billed = 0;  // the request's true units; 0: not said
 };
 
 class Upstream {
--- a/tests/gateway_test.cpp
+++ b/tests/gateway_test.cpp
@@ -150,8 +150,8 @@
   EXPECT_EQ(refused, 15);
 }
 
-// One gateway of two, and a counter on which the other adds `others` units a second. Our own demand is `own` a
-// second, for `seconds`; then the customer asks thirty at once, here. How many of those are let in?
+// One gateway of two, and a counter on which the other adds `others` units a second. Our own demand is `own`
+// a second, for `seconds`; then the customer asks thirty at once, here. How many of those are let in?
 int spike_after(double own, double others, int seconds) {
   Driver d(counted_settings());
   std::map<std::int64_t, double> totals;
--- a/tests/net/driver_test.cpp
+++ b/tests/net/driver_test.cpp
@@ -186,6 +186,22 @@
   EXPECT_GT(refused, 1);
 }
 
+TEST_F(DriverTest, UnitsBilledWithTheAnswerAreTakenFromTheQuota) {
+  rig.config.settings.settles_later = true;
+  rig.config.settings.plans[0].rate = 1e-6;
+  rig.config.settings.plans[0].burst = 30;  // ten of them here: the customer comes through three gateways
+  rig.know(member("s1", s1));
+  s1.on_request = [](Peer& p, const Request_& r) {
+    p.write(reply("200 OK", r["X-Trace-Id"] == "odd" ? "Billed-Units: many\r\n" : "Billed-Units: 4.5\r\n"));
+  };
+  rig.start();
+  Client c = rig.client();
+  for (const auto& [id, want] : {std::pair{"odd", 200}, {"a", 200}, {"b", 200}, {"c", 429}}) {
+    c.send(get(id));  // guessed as one unit
+    EXPECT_EQ(status(c), want) << id;
+  }
+}
+
 TEST_F(DriverTest, TotalsComeFromTheCounterAndItsSilenceLetsRequestsPass) {
   FakeCounter counter(rig.io);
   rig.config.settings.has_counter = true;
--- a/tests/net/upstream_test.cpp
+++ b/tests/net/upstream_test.cpp
@@ -64,6 +64,21 @@
   EXPECT_EQ(seen.body(), "hello");
 }
 
+TEST_F(UpstreamTest, BilledUnitsAreReadAndNonsenseIsNone) {
+  const std::map<std::string, double> told = {{"3", 3},  {"2.5", 2.5}, {"", 0},
+                                              {"-1", 0}, {"inf", 0},   {"3 x", 0}};
+  std::string now;
+  server.on_request = [&](Peer& p, const Request_&) {
+    p.write(reply("200 OK", "Billed-Units: " + now + "\r\n"));
+  };
+  make();
+  std::uint64_t id = 0;
+  for (const auto& [text, units] : told) {
+    now = text;
+    EXPECT_DOUBLE_EQ(result(++id).billed, units) << text;
+  }
+}
+
 TEST_F(UpstreamTest, AnErrorMayHaveRun) { EXPECT_EQ(outcome_of(reply("500 Oops")), Outcome::kError); }
 
 TEST_F(UpstreamTest, TurnedAwayOnlyWithTheProof) {
