Start a customer's ceiling part with what lies beyond the quota's burst, not empty

The part was emptied because a predecessor of the process may have spent it. The slices let a predecessor spend the quota's burst, which is all that has to be taken for spent; the rest is there, and so is what has filled in since our own start for a customer met later.

--- a/src/brain.cpp
+++ b/src/brain.cpp
@@ -129,8 +129,10 @@
       const double open = plan.max_open;
       c.rate = plan.rate > 0 ? plan.rate : std::max(kOpenLeast * open, open - kOpenSpread * std::sqrt(open));
       c.at = c.ceiling_at = now;
-
-      c.ceiling = 0;  // danger: a predecessor of this process may just have spent our part
+      // Danger: a predecessor of this process may just have spent our part, as far as the slices let it: the
+      // quota's burst. What the ceiling holds beyond that is there, and what has filled in since our start.
+      const double age = double(now - born_) / kSecond, beyond = plan.ceiling_burst - plan.burst;
+      c.ceiling = std::min(plan.ceiling_burst, std::max(0.0, beyond) + plan.ceiling_rate * age) / c.set_size;
       c.whole = burst(c);
       c.store = depth(c);
     }
@@ -305,7 +307,7 @@
 };
 
 // ---- 2. Ceilings and open caps ------------------------------------------------------------------------
-// Danger: the ceiling is a rule. An even part of its rate and stock, empty at a start, is safe alone.
+// Danger: the ceiling is a rule. An even part of its rate and stock is safe alone.
 bool ceiling_covers(Micros now, Customer& c, double units) {
   const PlanSettings& p = *c.plan;
   if (p.ceiling_rate <= 0) return true;
