Follow discovery and the counter to their new addresses on SIGHUP

The platform may replace the configuration file and send SIGHUP. The file is read again now, and the watch and the counter's connection go on at the new addresses at once, the watch from the last revision. A file that cannot be used is logged and changes nothing.

The process test was seen to fail without the handler: the process dies and its log ends.

--- a/src/net/counter.cpp
+++ b/src/net/counter.cpp
@@ -71,6 +71,13 @@
   tend();
 }
 
+void Counter::move(const tcp::endpoint& address) {
+  if (address == address_) return;
+  address_ = address;
+  backoff_ = 0;
+  lost("moved");
+}
+
 void Counter::connect() {
   const int life = ++life_;
   state_ = State::kConnecting;
--- a/src/net/counter.hpp
+++ b/src/net/counter.hpp
@@ -22,6 +22,8 @@
           boost::asio::ip::tcp::endpoint address, Micros call_timeout, Micros dial_timeout,
           Answered answered);
   void start();
+  // Goes on at another address. What is under way at the old one may be added there or not.
+  void move(const boost::asio::ip::tcp::endpoint& address);
   // Exactly one answer follows, never from within this call.
   void add(const AddToCounter& call);
 
@@ -52,7 +54,7 @@
   boost::asio::io_context& io_;
   Timers& timers_;
   const Clock& clock_;
-  const boost::asio::ip::tcp::endpoint address_;
+  boost::asio::ip::tcp::endpoint address_;
   const Micros call_timeout_, dial_timeout_;
   Answered answered_;
   boost::asio::ip::tcp::socket socket_;
--- a/src/net/discovery.cpp
+++ b/src/net/discovery.cpp
@@ -80,6 +80,13 @@
   watch_quiet();
 }
 
+void Discovery::move(const tcp::endpoint& agent) {
+  if (agent == agent_) return;
+  agent_ = agent;
+  backoff_ = 0;
+  lost("moved");
+}
+
 // Danger: a watch can break without a word. The agent sends at least an empty line every 2 s.
 void Discovery::watch_quiet() {
   if (clock_.now() - heard_ > kQuiet) lost("quiet");
--- a/src/net/discovery.hpp
+++ b/src/net/discovery.hpp
@@ -36,6 +36,8 @@
   Discovery(boost::asio::io_context& io, Timers& timers, const Clock& clock,
             boost::asio::ip::tcp::endpoint agent, std::int64_t revision, Told told);
   void start();
+  // Goes on with the watch at another address, from the last revision.
+  void move(const boost::asio::ip::tcp::endpoint& agent);
 
  private:
   using Parser = boost::beast::http::response_parser<boost::beast::http::string_body>;
@@ -50,7 +52,7 @@
   boost::asio::io_context& io_;
   Timers& timers_;
   const Clock& clock_;
-  const boost::asio::ip::tcp::endpoint agent_;
+  boost::asio::ip::tcp::endpoint agent_;
   std::int64_t revision_;
   bool whole_ = false;  // ask for the whole list next
   Told told_;
--- a/src/net/driver.cpp
+++ b/src/net/driver.cpp
@@ -219,6 +219,12 @@
   if (it->second.answered && it->second.out == 0) requests_.erase(it);
 }
 
+// ---- Another configuration ----------------------------------------------------------------------------
+void Driver::follow(const Config& config) {
+  discovery_.move(config.discovery);
+  if (counter_ && config.counter) counter_->move(*config.counter);
+}
+
 // ---- The end ------------------------------------------------------------------------------------------
 void Driver::drain(std::function<void()> done) {
   if (drained_) return;
--- a/src/net/driver.hpp
+++ b/src/net/driver.hpp
@@ -37,6 +37,8 @@
   Driver(boost::asio::io_context& io, const Config& config);
 
   boost::asio::ip::tcp::endpoint address() const { return frontend_.address(); }
+  // Follows discovery and the counter to the addresses that a new configuration names.
+  void follow(const Config& config);
   // Goes on accepting for the hand-over, finishes what is held, then calls `done`, once.
   void drain(std::function<void()> done);
 
--- a/src/net/main.cpp
+++ b/src/net/main.cpp
@@ -20,6 +20,21 @@
   return cottonroad::net::parse_config(nlohmann::json::parse(file));
 }
 
+// Danger: a file that cannot be used must not end the gateway; it goes on with what it has.
+void follow_on_hangup(boost::asio::signal_set& hangup, cottonroad::net::Driver& driver) {
+  hangup.async_wait([&](const boost::system::error_code& ec, int) {
+    if (ec) return;
+    try {
+      const auto config = read_config();
+      driver.follow(config);
+      std::cerr << config.name << ": configuration read again\n";
+    } catch (const std::exception& e) {
+      std::cerr << "hangup: " << e.what() << '\n';
+    }
+    follow_on_hangup(hangup, driver);
+  });
+}
+
 // Danger: an exception that leaves the loop would take all held requests with it.
 void run(boost::asio::io_context& io) {
   while (true) {
@@ -46,6 +61,8 @@
       std::cerr << config.name << ": draining\n";
       driver.drain([&] { io.stop(); });
     });
+    boost::asio::signal_set hangup(io, SIGHUP);
+    follow_on_hangup(hangup, driver);
     std::cerr << config.name << ": ready\n";
     run(io);
   } catch (const std::exception& e) {
--- a/tests/net/counter_test.cpp
+++ b/tests/net/counter_test.cpp
@@ -119,6 +119,16 @@
   EXPECT_EQ(fake->peers.size(), 1u);
 }
 
+TEST_F(CounterTest, AMovedCounterIsCalledAtItsNewAddress) {
+  FakeCounter other(io);
+  make();
+  EXPECT_EQ(add(7).outcome, CountOutcome::kOk);
+  counter->move(other.address());
+  EXPECT_TRUE(comes_back());
+  EXPECT_EQ(fake->calls.size(), 1u);
+  EXPECT_EQ(other.calls.size(), 1u);
+}
+
 TEST_F(CounterTest, ALyingCounterIsNoCrash) {
   // Guards against nonsense for a total, and against a length that would have the reader allocate it.
   make();
--- a/tests/net/process_test.cpp
+++ b/tests/net/process_test.cpp
@@ -1,4 +1,4 @@
-// The program itself: its start, a bad configuration, SIGTERM with a request held.
+// The program itself: its start, a bad configuration, SIGTERM with a request held, SIGHUP.
 #include <fcntl.h>
 #include <gtest/gtest.h>
 #include <signal.h>
@@ -54,6 +54,10 @@
     return log;
   }
   void terminate() { ::kill(pid_, SIGTERM); }
+  void reconfigure(const std::string& config) {
+    std::ofstream(path_, std::ios::trunc) << config;
+    ::kill(pid_, SIGHUP);
+  }
   int exit_code() {
     int status = 0;
     ::waitpid(pid_, &status, 0);
@@ -116,5 +120,28 @@
   EXPECT_EQ(p.exit_code(), 0);
 }
 
+TEST(Process, SighupFollowsDiscoveryAndABadFileChangesNothing) {
+  asio::io_context io;
+  FakeServer server(io), moved_to(io);
+  FakeDiscovery before(io), after(io);
+  const auto port = free_port(io);
+  Process p(config(port, server, before));
+  ASSERT_NE(p.log_until("ready").find("ready"), std::string::npos);
+  ASSERT_TRUE(until(io, [&] { return before.asked.size() == 1; }));
+  p.reconfigure("{");
+  ASSERT_NE(p.log_until("hangup").find("hangup"), std::string::npos);
+  after.first = list(42, false, entry("s1", server.text(), "draining") + "," + entry("s2", moved_to.text()));
+  p.reconfigure(config(port, server, after));
+  ASSERT_TRUE(until(io, [&] { return after.asked.size() == 1; }));
+  EXPECT_EQ(after.asked[0], "/catalog/members?watch=1&after=41");
+  Client c(io, {asio::ip::address_v4::loopback(), port});
+  for (int i = 0; moved_to.requests.empty() && i < 1000; ++i) {  // until it has taken the change in
+    c.send(get("t" + std::to_string(i)));
+    const auto answer = c.receive();
+    ASSERT_TRUE(answer);
+  }
+  EXPECT_FALSE(moved_to.requests.empty());
+}
+
 }  // namespace
 }  // namespace cottonroad::net::testing
