Close a peer that sends no whole request within two seconds of connecting

The terms owe an unknown peer an error or a close within 3 s of connecting. A peer that sent nothing was kept for ever, one that sent half a request for 10 s; each also held a descriptor. A client between requests, or in the middle of a later one, is kept as before.

The test was seen to fail without the change: the silent peer was still connected after 20 s.

--- a/src/net/frontend.cpp
+++ b/src/net/frontend.cpp
@@ -27,7 +27,8 @@
 constexpr std::uint64_t kMostBody = 64 << 10;
 constexpr std::size_t kMostAhead = 16 << 10;  // read while a request is held
 constexpr Micros kSlowClient = 10'000'000;    // us for the rest of a request, or to take an answer
-constexpr Micros kLinger = 1'000'000;         // us for a client to read an answer before the close
+constexpr Micros kStranger = 2'000'000;  // us for a first whole request; with kSweep, under the terms' 3 s
+constexpr Micros kLinger = 1'000'000;    // us for a client to read an answer before the close
 constexpr Micros kSweep = 500'000;
 constexpr Micros kLongestPatience = 3600'000'000;
 
@@ -119,7 +120,7 @@
  public:
   enum class State { kBetween, kReading, kHeld, kWriting, kClosing, kClosed };
   Session(Frontend& front, std::uint64_t client, tcp::socket socket)
-      : front_(front), client_(client), socket_(std::move(socket)), since_(front.clock_.now()) {}
+      : front_(front), client_(client), socket_(std::move(socket)), connected_(front.clock_.now()) {}
 
   void read() {
     if (reading_ || state_ == State::kClosed || pending_.size() > kMostAhead) return;
@@ -146,6 +147,13 @@
     error_code ec;
     if (state_ == State::kBetween && served_ && socket_.available(ec) == 0) close();
   }
+  // Danger: a gateway that stood still finds requests unread that came in time; what is there is read first.
+  void close_stranger() {
+    error_code ec;
+    const bool waiting = state_ == State::kBetween || state_ == State::kReading;
+    const Micros since = state_ == State::kBetween ? since_ : connected_;
+    if (waiting && !served_ && front_.clock_.now() - since > kStranger && socket_.available(ec) == 0) close();
+  }
   void close() {
     if (state_ == State::kClosed) return;
     const State was = std::exchange(state_, State::kClosed);
@@ -259,8 +267,9 @@
   Frontend& front_;
   const std::uint64_t client_;
   tcp::socket socket_;
+  const Micros connected_;
   State state_ = State::kBetween;
-  Micros since_;
+  Micros since_ = connected_;
   std::uint64_t request_ = 0;
   std::array<char, 4096> chunk_;
   std::string pending_, out_;
@@ -359,6 +368,7 @@
     const Micros stood = now - s->since();
     if ((s->state() == State::kReading || s->state() == State::kWriting) && stood > kSlowClient) s->close();
     if (s->state() == State::kClosing && stood > kLinger) s->close();
+    s->close_stranger();
   }
   timers_.after(kSweep, [this] { sweep(); });
 }
--- a/tests/net/driver_test.cpp
+++ b/tests/net/driver_test.cpp
@@ -67,6 +67,19 @@
   }
 }
 
+TEST_F(DriverTest, APeerThatSendsNoWholeRequestIsClosedAndAClientBetweenRequestsIsKept) {
+  rig.know(member("s1", s1));
+  rig.start();
+  Client known = rig.client(), silent = rig.client(), partial = rig.client();
+  known.send(get("a"));
+  EXPECT_EQ(status(known), 200);
+  partial.send(get("b").substr(0, 40));
+  EXPECT_TRUE(silent.ended());  // fails after 20 s
+  EXPECT_TRUE(partial.ended());
+  known.send(get("c"));
+  EXPECT_EQ(status(known), 200);
+}
+
 TEST_F(DriverTest, RequestsInPiecesAndBehindEachOther) {
   rig.know(member("s1", s1));
   rig.start();
