Leave a counter connection whose reply holds no number, at once

The client counted that call as unknown and kept the connection, so every call behind it timed out until the line was found silent after 1.5 s and left for another half second. It is left at once now.

Test seen to fail without it.

--- a/src/net/counter.cpp
+++ b/src/net/counter.cpp
@@ -156,22 +156,26 @@
     if (!raw) break;
     const std::unique_ptr<void, void (*)(void*)> held(raw, freeReplyObject);
     if (calls_.empty()) return lost("a reply to nothing");
-    reply(raw);
+    if (!reply(raw)) return lost("a reply without a number");
   }
   if (reader_->len - reader_->pos > kMostReply) lost("oversized reply");
 }
 
-void Counter::reply(void* raw) {
+bool Counter::reply(void* raw) {
   const auto& r = *static_cast<redisReply*>(raw);
   Call call = calls_.front();
   calls_.pop_front();
-  if (call.ping) return;
+  if (call.ping) return true;
   const std::string_view text(r.str ? r.str : "", r.str ? r.len : 0);
   double total = 0;
-  if (r.type == REDIS_REPLY_STRING && parse_total(text, total)) return finish(call, CountOutcome::kOk, total);
+  if (r.type == REDIS_REPLY_STRING && parse_total(text, total)) {
+    finish(call, CountOutcome::kOk, total);
+    return true;
+  }
   const bool turned_away =
       r.type == REDIS_REPLY_ERROR && (text.substr(0, 4) == "BUSY" || text.substr(0, 3) == "ERR");
   finish(call, turned_away ? CountOutcome::kNotAdded : CountOutcome::kUnknown);
+  return turned_away;
 }
 
 // Our time-out. A call that never left is taken out of the line and known not to be added.
--- a/src/net/counter.hpp
+++ b/src/net/counter.hpp
@@ -45,7 +45,8 @@
   void write();
   void read();
   void took(std::size_t size);
-  void reply(void* reply);
+  // False: the connection is of no further use.
+  bool reply(void* reply);
   void lost(const std::string& why);
   void expire(std::uint64_t number);
   void tend();
--- a/tests/net/counter_test.cpp
+++ b/tests/net/counter_test.cpp
@@ -129,6 +129,20 @@
   EXPECT_EQ(other.calls.size(), 1u);
 }
 
+TEST_F(CounterTest, AConnectionWhoseReplyHeldNoNumberIsLeft) {
+  // Such a connection may never answer again; the next call must not wait for that.
+  for (const char* lie : {"$3\r\nnan\r\n", "+OK\r\n", "$-1\r\n"}) {
+    make();
+    ASSERT_TRUE(comes_back());
+    const auto before = fake->peers.size();
+    fake->answer = lie;
+    EXPECT_EQ(add(1).outcome, CountOutcome::kUnknown) << lie;
+    fake->answer.reset();
+    EXPECT_TRUE(comes_back()) << lie;
+    EXPECT_EQ(fake->peers.size(), before + 1) << lie;
+  }
+}
+
 TEST_F(CounterTest, ALyingCounterIsNoCrash) {
   // Guards against nonsense for a total, and against a length that would have the reader allocate it.
   make();
