Pay back a debt in the view of the whole quota by our own slice

A gateway's view of what a customer has left was filled by what the others leave of the quota, so by nothing while they asked for all of it, and still lost all that this gateway let in from its slice. What a shrinking share's store could no longer hold was lost, no re-split gave it back, and customers asking two to ten times their rate were let in at a third to a half of it. Debt is filled by our slice now, at the least; stock is still only what others leave.

--- a/src/brain.cpp
+++ b/src/brain.cpp
@@ -159,18 +159,18 @@
 
   double fade(double seconds, const Customer& c) const { return std::exp(-seconds / memory(c)); }
 
-  // Fills the store by the slice, and our view of the whole by what the others leave of the quota.
+  // Fills the store, and our view of the whole by what the others leave; a debt there is paid by our slice.
   void advance(Micros now, Customer& c) {
     const double dt = double(now - c.at) / kSecond;
     if (dt <= 0) return;
     c.at = now;
     c.own *= fade(dt, c);
     c.store = std::min(depth(c), c.store + slice(c) * dt);
-    c.whole = std::min(burst(c), std::max(std::min(c.whole, 0.0), c.whole + (c.rate - c.others) * dt));
+    const double paid = std::min(0.0, c.whole + slice(c) * dt);
+    c.whole = std::min(burst(c), std::max(paid, c.whole + (c.rate - c.others) * dt));
   }
 
-  // Demand arrives, let in or not.
-  void count(Micros now, Customer& c, double units) {
+  void count(Micros now, Customer& c, double units) {  // demand, let in or not
     advance(now, c);
     c.own += units / memory(c);
     c.uncounted += units;
@@ -282,7 +282,7 @@
       // What a customer asked elsewhere before we met it tells how much of its burst can be left.
       if (first) c.whole *= std::clamp((1 - c.others / c.rate) / (1 - kIdleGuess), 0.0, 1.0);
       c.read_at = now;
-      // What is left is split by the share of the demand; what a slice has saved up meanwhile stays.
+      // What is left is split by share of demand; what a slice has saved up stays.
       c.store = std::min(depth(c), std::max(c.store, c.whole * slice(c) / c.rate));
     }
     c.seen = a.total;
@@ -522,7 +522,7 @@
       if (base_ > 0) over_aim = std::min(over_aim, kOutlier * base_);
       norm_ += (norm_ > 0 ? kNormGain : 1.0) * (over_aim - norm_);
       slow_norm_ += std::max(kIdleGain, 1.0 / ++answers_) * (over_aim - slow_norm_);
-      // Danger: the first answers to come are the fastest; an idle time from them alone is too short.
+      // Danger: the first answers are the fastest; an idle time from them alone is too short.
       if (answers_ > 1 / kIdleGain)
         base_ = base_ <= 0 ? slow_norm_ : std::min(slow_norm_, base_ + kBaseGain * (slow_norm_ - base_));
     }
--- a/tests/gateway_test.cpp
+++ b/tests/gateway_test.cpp
@@ -150,48 +150,80 @@
   EXPECT_EQ(refused, 15);
 }
 
-// One gateway of two, and a counter on which the other adds `others` units a second. Our own demand is `own`
-// a second, for `seconds`; then the customer asks thirty at once, here. How many of those are let in?
-int spike_after(double own, double others, int seconds) {
-  Driver d(counted_settings());
-  std::map<std::int64_t, double> totals;
-  auto step = [&](Micros now, const std::vector<Action>& actions) {
+// One gateway of two, and a counter on which the other one adds `others` units a second.
+class Shared {
+ public:
+  explicit Shared(double others) : others_(others) {}
+  double elsewhere = 0;  // units more that the other one has added
+  // Answers calls and serves what is sent; how many requests were let in.
+  int arrive(Micros now, const std::string& id) { return settle(now, driver_.arrive(now, id)); }
+  int run(Micros now) { return settle(now, driver_.run(now)); }
+
+ private:
+  int settle(Micros now, std::vector<Action> todo) {
     int sent = 0;
-    std::vector<Action> todo = actions;
     for (std::size_t k = 0; k < todo.size(); ++k) {
       std::vector<Action> more;
       if (const auto* call = std::get_if<AddToCounter>(&todo[k])) {
         CounterAnswered a;
         a.name = call->name;
         a.outcome = CountOutcome::kOk;
-        a.total = (totals[call->name] += call->amount) + others * double(now - 1000 * kS) / double(kS);
-        more = d.step(now, {a});
-      } else if (const auto* a = std::get_if<SendAttempt>(&todo[k])) {
+        a.total = (totals_.try_emplace(call->name, -elsewhere).first->second += call->amount) + elsewhere +
+                  others_ * double(now - kBegin) / double(kS);
+        more = driver_.step(now, {a});
+      } else if (const auto* attempt = std::get_if<SendAttempt>(&todo[k])) {
         ++sent;
-        more = d.end(now, SendAttempt(*a), Outcome::kOk);
+        more = driver_.end(now, SendAttempt(*attempt), Outcome::kOk);
       }
       todo.insert(todo.end(), more.begin(), more.end());
     }
     return sent;
-  };
+  }
+  static constexpr Micros kBegin = 1000 * kS;
+  Driver driver_{counted_settings()};
+  std::map<std::int64_t, double> totals_;
+  double others_;
+};
+
+// `own` a second are asked here for eight seconds, then thirty at once. How many of those are let in?
+int spike_after(double own, double others) {
+  Shared shared(others);
   Micros now = 1000 * kS;
-  const int steps = int(seconds * own);
-  for (int i = 0; i < steps; ++i) {
+  for (int i = 0; i < int(8 * own); ++i) {
     now += Micros(double(kS) / own);
-    step(now, d.run(now));
-    step(now, d.arrive(now, label("q", i)));
+    shared.run(now);
+    shared.arrive(now, label("q", i));
   }
   int sent = 0;
-  for (int i = 0; i < 30; ++i) sent += step(now + 1, d.arrive(now + 1, label("s", i)));
+  for (int i = 0; i < 30; ++i) sent += shared.arrive(now + 1, label("s", i));
   return sent;
 }
 
 TEST(QuotaSlices, TheBurstIsLetInOnceAndNotOnceAtEachGateway) {
-  EXPECT_NEAR(spike_after(2, 2, 8), 10, 2);  // of a burst of twenty, and as much at the other one
+  EXPECT_NEAR(spike_after(2, 2), 10, 2);  // of a burst of twenty, and as much at the other one
 }
 
 TEST(QuotaSlices, WhatIsLeftOfTheBurstFollowsTheDemand) {
-  EXPECT_GE(spike_after(9, 0, 8), 16);  // the customer's requests all come in here
+  EXPECT_GE(spike_after(9, 0), 16);  // the customer's requests all come in here
+}
+
+TEST(QuotaSlices, WhatWasLetInBesideOthersThatAskedTheQuotaIsNoDebtForLong) {
+  Shared shared(0);
+  Micros now = 1000 * kS;
+  for (int i = 0; i < 400; ++i) {  // twenty seconds at twenty a second here and as many elsewhere
+    now += 50 * kMs;
+    shared.elsewhere += 1;
+    shared.run(now);
+    shared.arrive(now, label("h", i));
+  }
+  for (int i = 0; i < 38; ++i) {  // ten quiet ones, and two in which all the demand comes in here
+    now += (i < 20 ? 500 : 111) * kMs;
+    shared.run(now);
+    shared.arrive(now, label("q", i));
+  }
+  int sent = 0;
+  for (int i = 0; i < 30; ++i) sent += shared.arrive(now + 1, label("s", i));
+  EXPECT_GT(sent, 9);  // the burst of twenty has filled again, and nobody else asks
 }
 
 TEST(QuotaSlices, NoNewUseNoCalls) {
