Bound what a server's answer may hold, announced or in a chunk header that never ends

A server that announced a body of three gigabytes and went on sending was read until the gateway went over its memory and was killed, with all that it held. The parser's body limit let the announced length pass. A chunk header without an end piled up in the same way.

Ruled out: the counter's reader and queue, discovery's lines, sessions and attempts, all small; the chunk header alone, which left the crash.

--- a/src/net/upstream.cpp
+++ b/src/net/upstream.cpp
@@ -235,7 +235,16 @@
     error_code ec;
     const std::size_t used = c->parser->put(asio::buffer(c->pending), ec);
     c->pending.erase(0, used);
-    if (ec == http::error::need_more) return;
+    // Danger: the parser's own limit lets an announced length pass, and a server may go on sending for ever.
+    if (!ec && c->parser->is_header_done() &&
+        std::max<std::uint64_t>(c->parser->content_length().value_or(0), c->parser->get().body().size()) >
+            kMostBody)
+      return end(c, {Outcome::kReset, {}, {}}, false);
+    if (ec == http::error::need_more) {
+      // Danger: the parser sets no bound to a chunk's extension; a server may send one that never ends.
+      if (c->pending.size() > kMostHeader) end(c, {Outcome::kReset, {}, {}}, false);
+      return;
+    }
     if (ec) return end(c, {Outcome::kReset, {}, {}}, false);  // not HTTP, or too large
     if (c->parser->is_done() &&
         http::to_status_class(c->parser->get().result()) == http::status_class::informational) {
--- a/tests/net/upstream_test.cpp
+++ b/tests/net/upstream_test.cpp
@@ -141,6 +141,17 @@
   EXPECT_EQ(outcome_of("HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\nzz\r\n"), Outcome::kReset);
 }
 
+TEST_F(UpstreamTest, AnAnswerLargerThanTheProtocolAllowsIsLeft) {
+  EXPECT_EQ(outcome_of("HTTP/1.1 200 OK\r\nContent-Length: 3000000000\r\n\r\n" + std::string(100'000, 'x')),
+            Outcome::kReset);
+}
+
+TEST_F(UpstreamTest, AnAnswerWhoseChunkHeaderNeverEndsIsLeft) {
+  EXPECT_EQ(
+      outcome_of("HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n5;x=" + std::string(100'000, 'x')),
+      Outcome::kReset);
+}
+
 TEST_F(UpstreamTest, InterimAnswersArePassedOver) {
   EXPECT_EQ(outcome_of("HTTP/1.1 100 Continue\r\n\r\n" + reply("200 OK", "", "x")), Outcome::kOk);
 }
