Serve a second address with figures, and take clients from the inherited socket

A closed acceptor no longer drops what it had accepted, and a connection is left only after its cancelled read showed that no request had come.

--- a/include/cottonroad/gateway.hpp
+++ b/include/cottonroad/gateway.hpp
@@ -202,6 +202,12 @@
   Gateway(Gateway&&) noexcept;
   Gateway& operator=(Gateway&&) noexcept;
 
+  // The servers in the list, and how many of these get nothing now though they run.
+  struct ServerCount {
+    std::size_t listed = 0, skipped = 0;
+  };
+  ServerCount count_servers(Micros now) const;
+
   // Takes what happened at `now` in order and appends what is to be done at once, in order.
   void handle(Micros now, const std::vector<Event>& events, std::vector<Action>& actions);
 
--- a/src/brain.cpp
+++ b/src/brain.cpp
@@ -328,6 +328,7 @@
 // ---- 3. Servers ---------------------------------------------------------------------------------------
 struct Server {
   ServerEntry entry;
+  bool listed = false;
   bool usable = true;                      // listed, up
   int out = 0;                             // our attempts there
   Micros owing_since = 0;                  // an answer: when we last had one, or sent with nothing out
@@ -349,11 +350,12 @@
   void update(const ServerListUpdate& update) {
     if (update.kind == ServerListUpdate::Kind::kError) return;
     if (update.kind != ServerListUpdate::Kind::kPartial)
-      for (auto& [name, s] : servers_) s.usable = false;
+      for (auto& [name, s] : servers_) s.listed = s.usable = false;
     for (const ServerEntry& e : update.entries) {
       Server& s = servers_[e.server];
       const bool restarted = e.started_at > s.entry.started_at;
       s.entry = e;
+      s.listed = e.state != ServerState::kRemoved;
       s.usable = e.state == ServerState::kUp;
       if (restarted) {  // a new process: what was known of the old one is void
         s.failures = 0;
@@ -491,6 +493,15 @@
     if (weights > 0) peer_rate_ += 0.3 * (work / weights / (kPeriod / kSecond) - peer_rate_);
   }
 
+  Gateway::ServerCount count(Micros now) const {
+    Gateway::ServerCount out;
+    for (const auto& [name, s] : servers_) {
+      out.listed += s.listed;
+      out.skipped += s.listed && s.ejected_until > now;
+    }
+    return out;
+  }
+
   // How much of the room for attempts is taken.
   double pressure(Micros now) {
     settle(now);
@@ -586,6 +597,8 @@
     units_.resize(means_.size());
   }
 
+  ServerCount count_servers(Micros now) const { return servers_.count(now); }
+
   void handle(Micros now, const std::vector<Event>& events, std::vector<Action>& out) {
     now_ = now;
     out_ = &out;
@@ -913,6 +926,8 @@
 Gateway::Gateway(Gateway&&) noexcept = default;
 Gateway& Gateway::operator=(Gateway&&) noexcept = default;
 
+Gateway::ServerCount Gateway::count_servers(Micros now) const { return impl_->count_servers(now); }
+
 void Gateway::handle(Micros now, const std::vector<Event>& events, std::vector<Action>& actions) {
   impl_->handle(now, events, actions);
 }
--- a/src/net/config.cpp
+++ b/src/net/config.cpp
@@ -50,6 +50,8 @@
   out.discovery = parse_endpoint(text(config, "discovery"));
   if (config.contains("counter") && !config["counter"].is_null())
     out.counter = parse_endpoint(text(config, "counter"));
+  if (config.contains("admin_addr") && !config["admin_addr"].is_null())
+    out.admin = parse_endpoint(text(config, "admin_addr"));
   if (config.contains("seed")) out.seed = parse_seed(text(config, "seed"));
   const json limits = config.value("limits", json::object());
   out.sockets = std::size_t(positive(limits, "sockets", 1024));
--- a/src/net/driver.cpp
+++ b/src/net/driver.cpp
@@ -30,9 +30,12 @@
       settings_(config.settings),
       timers_(io, clock_),
       gateway_(config.settings, config.seed),
-      upstream_(io, timers_, clock_,
-                {config.conn_idle, config.dial_timeout, std::max<std::size_t>(8, config.sockets * 2 / 5)},
-                [this](AttemptKey key, AttemptResult result) { ended(key, std::move(result)); }),
+      metrics_(settings_),
+      upstream_(
+          io, timers_, clock_,
+          {config.conn_idle, config.dial_timeout, std::max<std::size_t>(8, config.sockets * 2 / 5)},
+          [this](AttemptKey key, AttemptResult result) { ended(key, std::move(result)); },
+          [this] { metrics_.wrote_attempt(); }),
       discovery_(io, timers_, clock_, config.discovery, config.known.revision,
                  [this](const MemberList& list) {
                    using Kind = ServerListUpdate::Kind;
@@ -49,7 +52,15 @@
   }
   told(config.known, ServerListUpdate::Kind::kPersisted);
   discovery_.start();
-  frontend_.listen(config.listen);
+  frontend_.listen(config.listen, config.listener);
+  if (config.admin) {
+    AdminCalls calls;
+    calls.ready = [this] { return !drained_; };
+    calls.metrics = [this] { return figures(); };
+    calls.disable = [](const std::string&, bool) { return false; };
+    admin_.emplace(io, timers_, std::move(calls));
+    admin_->listen(*config.admin);
+  }
 }
 
 // ---- What happened ------------------------------------------------------------------------------------
@@ -60,6 +71,8 @@
   r.client = client;
   r.deadline = now + patience - std::min(kEarly, Micros(kEarlyShare * double(patience)));
   r.outgoing = std::move(request.outgoing);
+  r.request_class = request.arrived.request_class;
+  ++in_progress_;
   request.arrived.id = std::to_string(id);  // ours, since a client's may come twice
   request.arrived.deadline = r.deadline;
   timers_.at(r.deadline + kBackstop, [this, id] { overdue(id); });
@@ -71,6 +84,7 @@
   const auto it = requests_.find(id);
   if (it == requests_.end() || it->second.answered) return;
   it->second.answered = true;
+  --in_progress_;
   push(ClientGone{std::to_string(id)});
   forget(it);
 }
@@ -212,6 +226,8 @@
 
 void Driver::answer(Request& r, Answer answer) {
   if (std::exchange(r.answered, true)) return;  // one final answer, and only one
+  --in_progress_;
+  metrics_.answered(r.request_class, answer.status);
   frontend_.answer(r.client, std::move(answer));
 }
 
@@ -219,6 +235,11 @@
   if (it->second.answered && it->second.out == 0) requests_.erase(it);
 }
 
+std::string Driver::figures() {
+  const auto servers = gateway_.count_servers(clock_.now());
+  return metrics_.json({in_progress_, servers.listed, servers.skipped});
+}
+
 // ---- Another configuration ----------------------------------------------------------------------------
 void Driver::follow(const Config& config) {
   discovery_.move(config.discovery);
--- a/src/net/driver.hpp
+++ b/src/net/driver.hpp
@@ -9,10 +9,12 @@
 #include <unordered_map>
 #include <vector>
 
+#include "admin.hpp"
 #include "cottonroad/gateway.hpp"
 #include "counter.hpp"
 #include "discovery.hpp"
 #include "frontend.hpp"
+#include "metrics.hpp"
 #include "timers.hpp"
 #include "upstream.hpp"
 
@@ -21,7 +23,8 @@
 struct Config {
   std::string name;
   boost::asio::ip::tcp::endpoint listen, discovery;
-  std::optional<boost::asio::ip::tcp::endpoint> counter;
+  std::optional<boost::asio::ip::tcp::endpoint> counter, admin;
+  std::optional<int> listener;  // inherited from the platform
   std::uint64_t seed = 0;
   std::size_t sockets = 1024, memory_mb = 192;
   Settings settings;
@@ -37,6 +40,7 @@
   Driver(boost::asio::io_context& io, const Config& config);
 
   boost::asio::ip::tcp::endpoint address() const { return frontend_.address(); }
+  boost::asio::ip::tcp::endpoint admin_address() const { return admin_->address(); }
   // Follows discovery and the counter to the addresses that a new configuration names.
   void follow(const Config& config);
   // Goes on accepting for the hand-over, finishes what is held, then calls `done`, once.
@@ -53,6 +57,7 @@
     Micros deadline = 0;
     bool answered = false;
     bool late = false;  // its last attempt timed out
+    std::string request_class;
     int out = 0;
     Outgoing outgoing;
     std::vector<Attempt> attempts;
@@ -82,6 +87,7 @@
   void answer(Request& request, Answer answer);
   void forget(Requests::iterator it);
   void look_drained();
+  std::string figures();
 
   boost::asio::io_context& io_;
   const Settings settings_;
@@ -94,10 +100,13 @@
   bool flushing_ = false;
   std::function<void()> drained_;
   Micros drain_until_ = 0;
+  Metrics metrics_;
+  std::size_t in_progress_ = 0;  // requests without a final answer whose client is there
   Upstream upstream_;
   std::optional<Counter> counter_;
   Discovery discovery_;
   Frontend frontend_;
+  std::optional<Admin> admin_;
 };
 
 }  // namespace cottonroad::net
--- a/src/net/frontend.cpp
+++ b/src/net/frontend.cpp
@@ -129,6 +129,7 @@
                             [this, self = shared_from_this()](error_code ec, std::size_t n) {
                               reading_ = false;
                               if (state_ == State::kClosed) return;
+                              if (ec == asio::error::operation_aborted) return left();
                               if (ec) return close();
                               if (state_ != State::kClosing) pending_.append(chunk_.data(), n);
                               if (state_ == State::kBetween || state_ == State::kReading) parse();
@@ -142,10 +143,16 @@
     write(a, front_.draining_ || !keep_alive_);
   }
 
-  // Unless a request is there already, read or not.
+  // Unless a request is there already. Danger: it may have been read with its handler still to run; a
+  // cancelled read tells whether it was.
+  void leave() {
+    error_code ignored;
+    if (state_ != State::kBetween) return;
+    if (!reading_) return left();
+    socket_.cancel(ignored);
+  }
   void close_between() {
-    error_code ec;
-    if (state_ == State::kBetween && served_ && socket_.available(ec) == 0) close();
+    if (served_) leave();
   }
   // Danger: a gateway that stood still finds requests unread that came in time; what is there is read first.
   void close_stranger() {
@@ -167,6 +174,10 @@
   std::uint64_t client() const { return client_; }
 
  private:
+  void left() {
+    error_code ec;
+    state_ == State::kBetween&& socket_.available(ec) == 0 ? close() : read();
+  }
   void enter(State state) {
     state_ = state;
     since_ = front_.clock_.now();
@@ -207,8 +218,10 @@
     keep_alive_ = message.keep_alive();
     if (message.method() == http::verb::get && message.target() == "/_health") {
       Answer health;
-      health.status = front_.draining_ ? 503 : 200;
-      health.body = front_.draining_ ? "draining\n" : "ok\n";
+      // On an inherited socket the address stays served, by the successor.
+      const bool going = front_.draining_ && !front_.inherited_;
+      health.status = going ? 503 : 200;
+      health.body = going ? "draining\n" : "ok\n";
       return write(health, front_.draining_ || !keep_alive_);
     }
     try {
@@ -291,7 +304,12 @@
 }
 Frontend::~Frontend() = default;
 
-void Frontend::listen(const tcp::endpoint& at) {
+void Frontend::listen(const tcp::endpoint& at, std::optional<int> inherited) {
+  if (inherited) {
+    inherited_ = true;
+    acceptor_.assign(at.protocol(), *inherited);
+    return accept();
+  }
   acceptor_.open(at.protocol());
   acceptor_.set_option(tcp::acceptor::reuse_address(true));
   acceptor_.bind(at);
@@ -304,11 +322,11 @@
   accepting_ = true;
   acceptor_.async_accept([this](error_code ec, tcp::socket socket) {
     accepting_ = false;
-    if (!acceptor_.is_open()) return;
     if (ec) {  // most likely out of descriptors; sessions that end make room
-      timers_.after(20'000, [this] { accept(); });
+      if (acceptor_.is_open()) timers_.after(20'000, [this] { accept(); });
       return;
     }
+    // Danger: the acceptor may have been closed since; what was accepted before must still be read.
     error_code ignored;
     socket.set_option(tcp::no_delay(true), ignored);
     const auto session = std::make_shared<Session>(*this, ++last_, std::move(socket));
@@ -326,7 +344,7 @@
     if (s->state() == Session::State::kBetween && client != last_ &&
         (!oldest || s->since() < oldest->since()))
       oldest = s;
-  if (oldest) oldest->close();
+  if (oldest) oldest->leave();
 }
 
 void Frontend::erase(std::uint64_t client) {
@@ -341,6 +359,8 @@
 
 void Frontend::drain() {
   draining_ = true;
+  error_code ignored;
+  if (inherited_) acceptor_.close(ignored);  // what has not been accepted is the successor's
   const auto sessions = sessions_;
   for (const auto& [client, s] : sessions) s->close_between();
 }
@@ -349,8 +369,7 @@
   error_code ignored;
   acceptor_.close(ignored);
   const auto sessions = sessions_;
-  for (const auto& [client, s] : sessions)
-    if (s->state() == Session::State::kBetween) s->close();
+  for (const auto& [client, s] : sessions) s->leave();
 }
 
 bool Frontend::quiet() const {
--- a/src/net/frontend.hpp
+++ b/src/net/frontend.hpp
@@ -4,6 +4,7 @@
 #include <boost/asio/ip/tcp.hpp>
 #include <functional>
 #include <memory>
+#include <optional>
 #include <string>
 #include <unordered_map>
 
@@ -34,7 +35,8 @@
            std::size_t most_clients, Took took, Gone gone);
   ~Frontend();
 
-  void listen(const boost::asio::ip::tcp::endpoint& at);
+  // On the inherited socket, where there is one.
+  void listen(const boost::asio::ip::tcp::endpoint& at, std::optional<int> inherited);
   boost::asio::ip::tcp::endpoint address() const { return acceptor_.local_endpoint(); }
   // The one answer to the request that the client waits for; nobody is there to hear it if it has gone.
   void answer(std::uint64_t client, Answer answer);
@@ -63,6 +65,7 @@
   std::uint64_t last_ = 0;
   bool draining_ = false;
   bool accepting_ = false;
+  bool inherited_ = false;  // another process may take clients from the same socket
 };
 
 }  // namespace cottonroad::net
--- a/src/net/main.cpp
+++ b/src/net/main.cpp
@@ -9,6 +9,7 @@
 #include <stdexcept>
 
 #include "driver.hpp"
+#include "handover.hpp"
 
 namespace {
 
@@ -17,7 +18,10 @@
   if (!path || !*path) throw std::runtime_error("RELAY_CONFIG is not set");
   std::ifstream file(path);
   if (!file) throw std::runtime_error(std::string("cannot read ") + path);
-  return cottonroad::net::parse_config(nlohmann::json::parse(file));
+  auto config = cottonroad::net::parse_config(nlohmann::json::parse(file));
+  const char* admin = std::getenv("RELAY_ADMIN_ADDR");
+  if (!config.admin && admin && *admin) config.admin = cottonroad::net::parse_endpoint(admin);
+  return config;
 }
 
 // Danger: a file that cannot be used must not end the gateway; it goes on with what it has.
@@ -52,7 +56,8 @@
 int main() {
   std::signal(SIGPIPE, SIG_IGN);
   try {
-    const auto config = read_config();
+    auto config = read_config();
+    config.listener = cottonroad::net::inherited_listener();
     boost::asio::io_context io(1);
     cottonroad::net::Driver driver(io, config);
     boost::asio::signal_set signals(io, SIGTERM, SIGINT);
--- a/src/net/upstream.cpp
+++ b/src/net/upstream.cpp
@@ -97,8 +97,13 @@
 };
 
 Upstream::Upstream(asio::io_context& io, Timers& timers, const Clock& clock, UpstreamLimits limits,
-                   Ended ended)
-    : io_(io), timers_(timers), clock_(clock), limits_(limits), ended_(std::move(ended)) {
+                   Ended ended, Wrote wrote)
+    : io_(io),
+      timers_(timers),
+      clock_(clock),
+      limits_(limits),
+      ended_(std::move(ended)),
+      wrote_(std::move(wrote)) {
   sweep();
 }
 Upstream::~Upstream() = default;
@@ -212,6 +217,7 @@
     if (c->state != Connection::State::kWriting || !(c->attempt == key)) return;
     if (ec) return end(c, {Outcome::kConnectFailed, {}, {}}, false);  // its last byte never left
     c->state = Connection::State::kWaiting;
+    wrote_();
   });
   read(c);
 }
@@ -268,6 +274,7 @@
   const auto billed = answer["Billed-Units"];
   result.billed = parse_billed({billed.data(), billed.size()});
   if (result.outcome == Outcome::kOk) result.body = std::move(answer.body());
+  if (c->state == Connection::State::kWriting) wrote_();  // its end was written, the news of it comes later
   // An answer that overtook the request leaves a connection in the middle of it.
   const bool keep = c->state == Connection::State::kWaiting && answer.keep_alive() && c->pending.empty();
   end(c, std::move(result), keep);
--- a/src/net/upstream.hpp
+++ b/src/net/upstream.hpp
@@ -47,8 +47,10 @@
 class Upstream {
  public:
   using Ended = std::function<void(AttemptKey, AttemptResult)>;
+  // `wrote` is told of each attempt whose last byte was written, once.
+  using Wrote = std::function<void()>;
   Upstream(boost::asio::io_context& io, Timers& timers, const Clock& clock, UpstreamLimits limits,
-           Ended ended);
+           Ended ended, Wrote wrote);
   ~Upstream();
 
   void update(const MemberList& list);
@@ -85,6 +87,7 @@
   const Clock& clock_;
   const UpstreamLimits limits_;
   Ended ended_;
+  Wrote wrote_;
   std::map<std::string, Pool> pools_;
   std::unordered_map<AttemptKey, Held, AttemptKeyHash> attempts_;
   std::size_t open_ = 0;
--- a/tests/net/process_test.cpp
+++ b/tests/net/process_test.cpp
@@ -15,7 +15,8 @@
 
 class Process {
  public:
-  explicit Process(const std::string& config) {
+  // `listener`, if any, is what the platform hands down as descriptor 5.
+  explicit Process(const std::string& config, int listener = -1) {
     char name[] = "/tmp/kelpford-test-XXXXXX";
     const int file = ::mkstemp(name);
     path_ = name;
@@ -29,6 +30,10 @@
       ::close(ends[0]);
       ::close(ends[1]);
       ::setenv("RELAY_CONFIG", name, 1);
+      if (listener >= 0) {
+        ::dup2(listener, 5);
+        ::setenv("RELAY_LISTEN_FD", "5", 1);
+      }
       ::execl(KELPFORD_GATEWAY, KELPFORD_GATEWAY, nullptr);
       ::_exit(127);
     }
@@ -75,8 +80,9 @@
   return tcp::acceptor(io, {asio::ip::address_v4::loopback(), 0}).local_endpoint().port();
 }
 
-std::string config(std::uint16_t port, const Listener& server, const Listener& discovery) {
-  return R"({"name":"n0","listen":"127.0.0.1:)" + std::to_string(port) + R"(","discovery":")" +
+std::string config(std::uint16_t port, const Listener& server, const Listener& discovery,
+                   const std::string& more = "") {
+  return R"({"name":"n0",)" + more + R"("listen":"127.0.0.1:)" + std::to_string(port) + R"(","discovery":")" +
          discovery.text() +
          R"(","seed":"8c1f30d27a5be964","limits":{"cores":1.0,"memory_mb":192,"sockets":1024},
     "known":)" +
@@ -143,5 +149,35 @@
   EXPECT_FALSE(moved_to.requests.empty());
 }
 
+TEST(Process, TwoProcessesTakeClientsFromOneInheritedSocketAndTheOldOneLeavesNoneUnread) {
+  asio::io_context io;
+  FakeServer server(io);
+  FakeDiscovery discovery(io);
+  tcp::acceptor platform(io, {asio::ip::address_v4::loopback(), 0});
+  const auto port = platform.local_endpoint().port();
+  Process before(config(port, server, discovery), platform.native_handle());
+  ASSERT_NE(before.log_until("ready").find("ready"), std::string::npos);
+  Client first(io, platform.local_endpoint());
+  first.send(get("a"));
+  ASSERT_TRUE(first.receive());
+  const auto admin = free_port(io);
+  Process after(
+      config(port, server, discovery, R"("admin_addr":"127.0.0.1:)" + std::to_string(admin) + "\","),
+      platform.native_handle());
+  ASSERT_NE(after.log_until("ready").find("ready"), std::string::npos);
+  Client staff(io, {asio::ip::address_v4::loopback(), admin});
+  staff.send("GET /-/ready HTTP/1.1\r\nHost: n0\r\n\r\n");
+  const auto ready = staff.receive();
+  ASSERT_TRUE(ready);
+  EXPECT_EQ(ready->result_int(), 200u);
+  before.terminate();
+  EXPECT_EQ(before.exit_code(), 0);
+  for (int i = 0; i < 20; ++i) {
+    Client c(io, platform.local_endpoint());
+    c.send(get("b" + std::to_string(i)));
+    EXPECT_TRUE(c.receive());
+  }
+}
+
 }  // namespace
 }  // namespace cottonroad::net::testing
--- a/tests/net/upstream_test.cpp
+++ b/tests/net/upstream_test.cpp
@@ -11,9 +11,10 @@
 class UpstreamTest : public ::testing::Test {
  protected:
   void make(UpstreamLimits limits = {}) {
-    upstream.emplace(io, timers, clock, limits, [this](AttemptKey key, AttemptResult result) {
-      results.emplace_back(key, std::move(result));
-    });
+    upstream.emplace(
+        io, timers, clock, limits,
+        [this](AttemptKey key, AttemptResult result) { results.emplace_back(key, std::move(result)); },
+        [this] { ++written; });
     list.complete = true;
     list.members = {member("s", server)};
     upstream->update(list);
@@ -40,6 +41,7 @@
   Timers timers{io, clock};
   FakeServer server{io};
   std::vector<std::pair<AttemptKey, AttemptResult>> results;
+  int written = 0;  // attempts written whole
   std::optional<Upstream> upstream;
   Outgoing outgoing{"POST", "/intro-request/1?q", "origin.svc", "t1", "k1", "hello"};
 };
@@ -64,6 +66,16 @@
   EXPECT_EQ(seen.body(), "hello");
 }
 
+TEST_F(UpstreamTest, OnlyAttemptsWrittenWholeAreCounted) {
+  make();
+  EXPECT_EQ(result(1).outcome, Outcome::kOk);
+  EXPECT_EQ(result(2).outcome, Outcome::kOk);
+  EXPECT_EQ(written, 2);
+  server.stop();
+  EXPECT_NE(result(3).outcome, Outcome::kOk);
+  EXPECT_EQ(written, 2);
+}
+
 TEST_F(UpstreamTest, BilledUnitsAreReadAndNonsenseIsNone) {
   const std::map<std::string, double> told = {{"3", 3},  {"2.5", 2.5}, {"", 0},
                                               {"-1", 0}, {"inf", 0},   {"3 x", 0}};
