Take booking servers out by hand, over the list's news, restarts and both processes

A server given back is taken for cold from that moment unless the list told of its restart while it was out.

--- a/include/cottonroad/gateway.hpp
+++ b/include/cottonroad/gateway.hpp
@@ -109,6 +109,11 @@
   enum class Kind { kPartial, kComplete, kPersisted, kError } kind = Kind::kComplete;
   std::vector<ServerEntry> entries;
 };
+// Staff took a server out, or gave it back; may come again. It binds whatever the list says.
+struct ServerSwitched {
+  std::string server;
+  bool disabled = false;
+};
 struct RequestArrived {
   std::string id;
   std::string customer;
@@ -156,7 +161,7 @@
   Micros duration = 0;
 };
 using Event = std::variant<ServerListUpdate, RequestArrived, StreamStarted, AttemptEnded, ClientGone,
-                           TimerFired, ProbeEnded, CounterAnswered>;
+                           TimerFired, ProbeEnded, CounterAnswered, ServerSwitched>;
 
 // ---- Actions ------------------------------------------------------------------------------------------
 struct SendAttempt {
--- a/src/brain.cpp
+++ b/src/brain.cpp
@@ -330,6 +330,9 @@
   ServerEntry entry;
   bool listed = false;
   bool usable = true;                      // listed, up
+  bool disabled = false;                   // by hand
+  Micros switched_at = 0;                  // out, or back, by hand
+  Micros cold_since = 0;                   // taken for started then, until the list tells
   int out = 0;                             // our attempts there
   Micros owing_since = 0;                  // an answer: when we last had one, or sent with nothing out
   double ratio_sum = 0, ratio_weight = 0;  // answers' times over their class's mean, fading
@@ -341,6 +344,7 @@
   bool on_trial = false;                             // ejected and not yet answered since
   std::deque<std::pair<Micros, double>> cold_sends;  // when and how much work, in the cold window
   double carried = 0;                                // work sent since the last look
+  bool open() const { return usable && !disabled; }
 };
 
 class Servers {
@@ -357,19 +361,27 @@
       s.entry = e;
       s.listed = e.state != ServerState::kRemoved;
       s.usable = e.state == ServerState::kUp;
-      if (restarted) {  // a new process: what was known of the old one is void
-        s.failures = 0;
-        s.ejected_until = 0;
-        s.on_trial = false;
-        s.ratio_sum = s.ratio_weight = 0;
-      }
+      if (restarted) renew(s);
     }
   }
 
+  void update(Micros now, const ServerSwitched& e) {
+    Server& s = servers_[e.server];
+    if (s.disabled == e.disabled) return;
+    // Danger: it was restarted while it was out, and the list may tell of that seconds after it is back.
+    const bool told = s.entry.started_at > s.switched_at;
+    s.disabled = e.disabled;
+    s.switched_at = now;
+    if (e.disabled) return;
+    renew(s);
+    s.cold_since = told ? 0 : now;
+  }
+
   // The least share of its full capacity that the server can have by now.
   double warmth(Micros now, const Server& s) const {
-    if (s.entry.started_at <= 0 || settings_.cold_time <= 0) return 1;
-    const double age = double(now - s.entry.started_at) / double(settings_.cold_time);
+    const Micros since = std::max(s.entry.started_at, s.cold_since);
+    if (since <= 0 || settings_.cold_time <= 0) return 1;
+    const double age = double(now - since) / double(settings_.cold_time);
     return std::clamp(settings_.cold_share + (1 - settings_.cold_share) * age, settings_.cold_share, 1.0);
   }
 
@@ -408,8 +420,9 @@
     int listed = 0, ejected = 0;
     double weights = 0;
     for (const auto& [name, s] : servers_) {
-      if (s.usable) ++(s.ejected_until > now ? ejected : listed);
-      if (s.usable && s.ejected_until <= now) weights += weight(s) * warmth(now, s) / slowness(now, s, mean);
+      if (!s.open()) continue;
+      ++(s.ejected_until > now ? ejected : listed);
+      if (s.ejected_until <= now) weights += weight(s) * warmth(now, s) / slowness(now, s, mean);
     }
     // Danger: a whole zone gone may be more than may be ejected; its servers then come last, not in turn.
     const bool last_resort = ejected > kMaxEjected * (listed + ejected);
@@ -419,7 +432,7 @@
     // ones lie idle. A few are drawn by speed, the fewer the less of the load is our own; the best of those.
     std::vector<std::tuple<double, double, Server*>> draws;  // key, cost
     for (auto& [name, s] : servers_) {
-      if (!s.usable || !allowed(s)) continue;
+      if (!s.open() || !allowed(s)) continue;
       if ((s.ejected_until > now && !last_resort) || (s.on_trial && s.out > 0)) continue;
       const double slow = slowness(now, s, mean), speed = weight(s) * warmth(now, s) / slow;
       if (s.out >= std::max(1.0, std::round(kUneven * even() / weights * speed))) continue;
@@ -484,7 +497,7 @@
   void look(Micros now) {
     double work = 0, weights = 0;
     for (auto& [name, s] : servers_) {
-      if (s.usable && warmth(now, s) >= 1 && s.ejected_until <= now) {
+      if (s.open() && warmth(now, s) >= 1 && s.ejected_until <= now) {
         work += s.carried;
         weights += weight(s);
       }
@@ -497,7 +510,7 @@
     Gateway::ServerCount out;
     for (const auto& [name, s] : servers_) {
       out.listed += s.listed;
-      out.skipped += s.listed && s.ejected_until > now;
+      out.skipped += s.listed && (s.disabled || s.ejected_until > now);
     }
     return out;
   }
@@ -509,6 +522,12 @@
   }
 
  private:
+  static void renew(Server& s) {  // a new process: what was known of the old one is void
+    s.failures = 0;
+    s.ejected_until = 0;
+    s.on_trial = false;
+    s.ratio_sum = s.ratio_weight = 0;
+  }
   double uniform() { return double((random_ = mix(random_)) >> 11) * 0x1p-53; }
 
   double even() const { return std::max(limit_, kLeastInFlight * std::max(listed_, 1) / settings_.gateways); }
@@ -630,6 +649,10 @@
       emit(SetTimer{now_ + settings_.list_ask_within / 8, kResubscribe});
     }
   }
+  void on(const ServerSwitched& e) {
+    servers_.update(now_, e);
+    log(e.disabled ? "disabled" : "enabled", e.server + " by hand");
+  }
   void on(const StreamStarted& e) {
     auto it = requests_.find(e.id);
     if (it != requests_.end()) it->second.done = true;  // the attempt is the client's now
--- a/src/net/driver.cpp
+++ b/src/net/driver.cpp
@@ -36,6 +36,8 @@
           {config.conn_idle, config.dial_timeout, std::max<std::size_t>(8, config.sockets * 2 / 5)},
           [this](AttemptKey key, AttemptResult result) { ended(key, std::move(result)); },
           [this] { metrics_.wrote_attempt(); }),
+      disabled_(timers_, config.shared_directory,
+                [this](const std::string& server, bool disabled) { switched(server, disabled); }),
       discovery_(io, timers_, clock_, config.discovery, config.known.revision,
                  [this](const MemberList& list) {
                    using Kind = ServerListUpdate::Kind;
@@ -51,13 +53,18 @@
     counter_->start();
   }
   told(config.known, ServerListUpdate::Kind::kPersisted);
+  disabled_.start();
   discovery_.start();
   frontend_.listen(config.listen, config.listener);
   if (config.admin) {
     AdminCalls calls;
     calls.ready = [this] { return !drained_; };
     calls.metrics = [this] { return figures(); };
-    calls.disable = [](const std::string&, bool) { return false; };
+    calls.disable = [this](const std::string& server, bool disabled) {
+      if (!upstream_.knows(server) && !disabled_.has(server)) return false;
+      disabled_.set(server, disabled);
+      return true;
+    };
     admin_.emplace(io, timers_, std::move(calls));
     admin_->listen(*config.admin);
   }
@@ -142,6 +149,11 @@
   ended(key, {written ? Outcome::kTimeout : Outcome::kConnectFailed, {}, {}});
 }
 
+void Driver::switched(const std::string& server, bool disabled) {
+  upstream_.disable(server, disabled);
+  push(ServerSwitched{server, disabled});
+}
+
 // ---- The module ---------------------------------------------------------------------------------------
 // What comes in one turn of the loop goes to the module together, once all of the turn is in.
 void Driver::push(Event event) {
--- a/src/net/driver.hpp
+++ b/src/net/driver.hpp
@@ -14,6 +14,7 @@
 #include "counter.hpp"
 #include "discovery.hpp"
 #include "frontend.hpp"
+#include "handover.hpp"
 #include "metrics.hpp"
 #include "timers.hpp"
 #include "upstream.hpp"
@@ -24,7 +25,8 @@
   std::string name;
   boost::asio::ip::tcp::endpoint listen, discovery;
   std::optional<boost::asio::ip::tcp::endpoint> counter, admin;
-  std::optional<int> listener;  // inherited from the platform
+  std::optional<int> listener;   // inherited from the platform
+  std::string shared_directory;  // kept over an upgrade; empty: none
   std::uint64_t seed = 0;
   std::size_t sockets = 1024, memory_mb = 192;
   Settings settings;
@@ -70,6 +72,7 @@
   void told(const MemberList& list, ServerListUpdate::Kind kind);
   void ended(AttemptKey key, AttemptResult result);
   void expire(AttemptKey key);
+  void switched(const std::string& server, bool disabled);
 
   void push(Event event);
   void flush();
@@ -103,6 +106,7 @@
   Metrics metrics_;
   std::size_t in_progress_ = 0;  // requests without a final answer whose client is there
   Upstream upstream_;
+  Disabled disabled_;
   std::optional<Counter> counter_;
   Discovery discovery_;
   Frontend frontend_;
--- a/src/net/main.cpp
+++ b/src/net/main.cpp
@@ -20,6 +20,8 @@
   if (!file) throw std::runtime_error(std::string("cannot read ") + path);
   auto config = cottonroad::net::parse_config(nlohmann::json::parse(file));
   const char* admin = std::getenv("RELAY_ADMIN_ADDR");
+  const char* shared = std::getenv("TMPDIR");
+  if (shared) config.shared_directory = shared;
   if (!config.admin && admin && *admin) config.admin = cottonroad::net::parse_endpoint(admin);
   return config;
 }
--- a/src/net/upstream.cpp
+++ b/src/net/upstream.cpp
@@ -124,16 +124,28 @@
   }
 }
 
-void Upstream::send(AttemptKey key, const std::string& server, const Outgoing& what, Micros until) {
+void Upstream::disable(const std::string& server, bool disabled) {
+  disabled ? disabled_.insert(server).second : disabled_.erase(server) > 0;
+  const auto found = pools_.find(server);
+  if (found == pools_.end()) return;
+  while (!found->second.idle.empty()) drop(*Held(found->second.idle.back()));  // it will be restarted
+}
+
+Upstream::Pool* Upstream::open_pool(const std::string& server) {
   const auto found = pools_.find(server);
-  if (found == pools_.end() || !found->second.up) return end_later(key, Outcome::kNotSent);
-  Held c = take_idle(found->second);
+  return found != pools_.end() && found->second.up && !disabled_.count(server) ? &found->second : nullptr;
+}
+
+void Upstream::send(AttemptKey key, const std::string& server, const Outgoing& what, Micros until) {
+  Pool* const pool = open_pool(server);
+  if (!pool) return end_later(key, Outcome::kNotSent);
+  Held c = take_idle(*pool);
   const bool fresh = !c;
   if (fresh) {
     if (!make_room()) return end_later(key, Outcome::kNotSent);
     c = std::make_shared<Connection>(io_);
     c->server = server;
-    c->address = found->second.address;
+    c->address = pool->address;
     ++open_;
   }
   c->attempt = key;
@@ -194,8 +206,7 @@
     if (c->state != Connection::State::kConnecting) return;
     if (ec) return end(c, {Outcome::kConnectFailed, {}, {}}, false);
     // Danger: the server may have been told off while the connect was under way.
-    const auto pool = pools_.find(c->server);
-    if (pool == pools_.end() || !pool->second.up) return end(c, {Outcome::kNotSent, {}, {}}, false);
+    if (!open_pool(c->server)) return end(c, {Outcome::kNotSent, {}, {}}, false);
     error_code ignored;
     c->socket.set_option(tcp::no_delay(true), ignored);
     write(c);
@@ -293,12 +304,12 @@
 void Upstream::end(const Held& c, AttemptResult result, bool keep) {
   const AttemptKey key = c->attempt;
   attempts_.erase(key);
-  const auto pool = pools_.find(c->server);
-  if (keep && pool != pools_.end() && pool->second.up && pool->second.address == c->address) {
+  Pool* const pool = open_pool(c->server);
+  if (keep && pool && pool->address == c->address) {
     c->state = Connection::State::kIdle;
     c->idle_since = clock_.now();
     c->parser.reset();
-    pool->second.idle.push_back(c);
+    pool->idle.push_back(c);
   } else {
     drop(*c);
   }
--- a/src/net/upstream.hpp
+++ b/src/net/upstream.hpp
@@ -5,6 +5,7 @@
 #include <functional>
 #include <map>
 #include <memory>
+#include <set>
 #include <string>
 #include <unordered_map>
 #include <vector>
@@ -54,6 +55,9 @@
   ~Upstream();
 
   void update(const MemberList& list);
+  // Nothing more goes to a server disabled by hand, whatever the list says, until it is enabled.
+  void disable(const std::string& server, bool disabled);
+  bool knows(const std::string& server) const { return pools_.count(server) > 0; }
   // One result follows, never from within this call, unless the attempt is abandoned.
   void send(AttemptKey key, const std::string& server, const Outgoing& what, Micros until);
   // Closes the attempt's connection. True if its last byte may have been written.
@@ -81,6 +85,7 @@
   void drop(Connection& connection);
   void end_later(AttemptKey key, Outcome outcome);
   void sweep();
+  Pool* open_pool(const std::string& server);
 
   boost::asio::io_context& io_;
   Timers& timers_;
@@ -89,6 +94,7 @@
   Ended ended_;
   Wrote wrote_;
   std::map<std::string, Pool> pools_;
+  std::set<std::string> disabled_;
   std::unordered_map<AttemptKey, Held, AttemptKeyHash> attempts_;
   std::size_t open_ = 0;
 };
--- a/tests/gateway_test.cpp
+++ b/tests/gateway_test.cpp
@@ -466,6 +466,24 @@
     for (const SendAttempt& a : all<SendAttempt>(d.arrive(2 * kMs, label("r", i)))) EXPECT_EQ(a.server, "c");
 }
 
+TEST(Rules, NothingGoesToAServerDisabledByHandAndItComesBackCold) {
+  Settings s = basic_settings();
+  s.cold_share = 0.2;
+  s.cold_time = 20 * kS;
+  s.cold_multiple = 3;
+  s.cold_window = 2 * kS;
+  Driver d(s, Driver::up({"a"}));
+  d.step(kMs, {ServerSwitched{"a", true}});
+  ServerListUpdate again;
+  again.entries = Driver::up({"a"});
+  d.step(2 * kMs, {again, ServerSwitched{"a", true}});
+  EXPECT_EQ(d.burst(3 * kMs, 5), 0);
+  d.step(10 * kS, {ServerSwitched{"a", false}});
+  EXPECT_EQ(d.burst(10 * kS + kMs, 5), 1);        // a cold one, not yet told of as restarted
+  d.step(40 * kS, {ServerSwitched{"a", false}});  // a second call back changes nothing
+  EXPECT_EQ(d.burst(40 * kS + kMs, 5), 5);
+}
+
 TEST(Rules, AnEmptyServerListStillAnswersEveryRequestInTime) {
   Driver d(basic_settings(), {});
   auto out = d.arrive(kMs, "r");
--- a/tests/net/admin_test.cpp
+++ b/tests/net/admin_test.cpp
@@ -1,5 +1,9 @@
 // The second address of a whole gateway: its calls, its bounds, and the figures.
 #include <gtest/gtest.h>
+#include <stdlib.h>
+#include <unistd.h>
+
+#include <fstream>
 
 #include "loopback.hpp"
 
@@ -89,5 +93,57 @@
   EXPECT_EQ(figures()["in_progress"], 0);
 }
 
+TEST_F(AdminTest, AServerTakenOutByHandGetsNothingUntilItIsGivenBackWhateverTheListSays) {
+  FakeServer s2(rig.io);
+  rig.know(member("s2", s2));
+  rig.start();
+  EXPECT_EQ(call("POST", "/-/booking-servers/nobody/disable").result_int(), 404u);
+  EXPECT_EQ(call("POST", "/-/booking-servers/s1/disable").result_int(), 200u);
+  EXPECT_EQ(call("POST", "/-/booking-servers/s1/disable").result_int(), 200u);
+  EXPECT_EQ(figures()["skipped_booking_servers"], 1);
+  ASSERT_TRUE(rig.until([&] { return rig.discovery.peers.size() == 1 && !rig.discovery.asked.empty(); }));
+  rig.discovery.tell(
+      list(42, true,
+           entry("s1", s1.text(), "up", 5) + "," + entry("s2", s2.text()) + "," + entry("s3", s2.text())));
+  ASSERT_TRUE(rig.until([&] { return figures()["known_booking_servers"] == 3; }));
+  Client c = rig.client();
+  const auto serve = [&](const std::string& id) {
+    c.send(get(id));
+    ASSERT_TRUE(c.receive());
+  };
+  for (int i = 0; i < 30; ++i) serve("a" + std::to_string(i));
+  EXPECT_TRUE(s1.requests.empty());
+  EXPECT_EQ(call("POST", "/-/booking-servers/s1/enable").result_int(), 200u);
+  EXPECT_EQ(figures()["skipped_booking_servers"], 0);
+  EXPECT_EQ(call("POST", "/-/booking-servers/s2/disable").result_int(), 200u);
+  EXPECT_EQ(call("POST", "/-/booking-servers/s3/disable").result_int(), 200u);
+  serve("b");
+  EXPECT_EQ(s1.requests.size(), 1u);
+}
+
+TEST_F(AdminTest, ServersTakenOutByHandOutliveTheProcessAndBindTheOtherOneAndATornFileChangesNothing) {
+  char name[] = "/tmp/kelpford-test-XXXXXX";
+  ASSERT_NE(::mkdtemp(name), nullptr);
+  const std::string file = std::string(name) + "/disabled.json";
+  rig.config.shared_directory = name;
+  rig.start();
+  EXPECT_EQ(call("POST", "/-/booking-servers/s1/disable").result_int(), 200u);
+  rig.driver.reset();
+  rig.start();
+  EXPECT_EQ(figures()["skipped_booking_servers"], 1);
+  std::vector<std::pair<std::string, bool>> told;
+  Clock clock;
+  Timers timers(rig.io, clock);
+  Disabled other(timers, name, [&](const std::string& id, bool out) { told.emplace_back(id, out); });
+  other.start();
+  ASSERT_EQ(told.size(), 1u);
+  std::ofstream(file) << "[\"s1";
+  EXPECT_EQ(figures()["skipped_booking_servers"], 1);
+  other.set("s1", false);
+  ASSERT_TRUE(rig.until([&] { return figures()["skipped_booking_servers"] == 0; }));
+  ::unlink(file.c_str());
+  ::rmdir(name);
+}
+
 }  // namespace
 }  // namespace cottonroad::net::testing
--- a/tests/net/process_test.cpp
+++ b/tests/net/process_test.cpp
@@ -16,7 +16,7 @@
 class Process {
  public:
   // `listener`, if any, is what the platform hands down as descriptor 5.
-  explicit Process(const std::string& config, int listener = -1) {
+  explicit Process(const std::string& config, int listener = -1, const std::string& shared = "") {
     char name[] = "/tmp/kelpford-test-XXXXXX";
     const int file = ::mkstemp(name);
     path_ = name;
@@ -30,6 +30,7 @@
       ::close(ends[0]);
       ::close(ends[1]);
       ::setenv("RELAY_CONFIG", name, 1);
+      ::setenv("TMPDIR", shared.c_str(), 1);
       if (listener >= 0) {
         ::dup2(listener, 5);
         ::setenv("RELAY_LISTEN_FD", "5", 1);
