Count a server's error against it, so that one failing all at once is not taken for quick

Its table showed 2,700 attempts answered 500 out of 9,600; a server that fails at once answered fastest and drew half of the load, and nothing ever left it. Ruled out: service by hand itself (48 calls on time, none left unused). An error now counts ten mean answers and towards ejection, and no longer towards the fleet's answer time.

--- a/src/brain.cpp
+++ b/src/brain.cpp
@@ -53,6 +53,7 @@
 constexpr double kNormGain = 1.0 / 30;     // per answer; smoothing of the fleet's answer times
 constexpr double kIdleGain = 1.0 / 150;    // per answer; slower, so that its least is no lucky run
 constexpr double kBaseGain = 1.0 / 40000;  // per answer; how fast the idle answer time may rise
+constexpr double kErrorRatio = 10;         // mean answers that an error counts for: it has to be tried again
 constexpr int kEjectAfter = 3;             // failures in a row, none answered between
 constexpr double kMaxEjected = 0.34;       // of the fleet; past that the fault is likely ours or everyone's
 constexpr double kLastResort = 1e6;        // cost of an ejected server, when too many are
@@ -467,8 +468,10 @@
     settle(now);
     --s.out;
     --out_;
-    const bool answered = o == Outcome::kOk || o == Outcome::kError;
-    if (answered || o == Outcome::kTimeout || blame) {
+    // Danger: a server that fails all it gets answers fastest; taken for quick, it would draw the whole load.
+    const bool answered = o == Outcome::kOk, error = o == Outcome::kError;
+    if (error) ratio = kErrorRatio;
+    if (answered || error || o == Outcome::kTimeout || blame) {
       const double keep = fade(now - s.ratio_at, kLatencyMemory);
       s.ratio_sum = s.ratio_sum * keep + ratio;
       s.ratio_weight = s.ratio_weight * keep + 1;
@@ -478,14 +481,14 @@
       s.others = load.in_flight >= 0 ? std::max(0.0, load.in_flight - s.out - 1) : load.queued;
       s.report_at = now;
     }
+    if (answered || error) s.owing_since = now;
     if (answered) {
       s.failures = 0;
-      s.owing_since = now;
       s.on_trial = false;
     }
     adapt(now, o, answered || o == Outcome::kTimeout || blame, over_aim, mean);
     const bool failed =
-        blame || o == Outcome::kTimeout || o == Outcome::kConnectFailed || o == Outcome::kReset;
+        blame || error || o == Outcome::kTimeout || o == Outcome::kConnectFailed || o == Outcome::kReset;
     if (!failed) return false;
     if ((++s.failures < kEjectAfter && !s.on_trial) || s.ejected_until > now) return false;
     s.ejected_until = now + kEjectFor;
--- a/tests/gateway_test.cpp
+++ b/tests/gateway_test.cpp
@@ -591,6 +591,26 @@
   EXPECT_FALSE(seen.count("a"));
 }
 
+TEST(Servers, OneThatFailsWhatItGetsAtOnceIsNotTakenForQuick) {
+  Settings s = basic_settings();
+  s.plans[0].rate = s.plans[0].burst = 1000;
+  Driver d(s);
+  int failed = 0;
+  for (int i = 0; i < 100; ++i) {
+    const Micros now = i * 20 * kMs;
+    auto out = d.arrive(now, label("r", i));
+    for (int n = 0; n < 3; ++n) {
+      const auto sent = all<SendAttempt>(out);
+      if (sent.empty()) break;
+      const bool fails = sent[0].server == "a";
+      failed += fails;
+      out = d.end(now + (fails ? kMs : 15 * kMs), sent[0], fails ? Outcome::kError : Outcome::kOk, n,
+                  fails ? kMs : 15 * kMs);
+    }
+  }
+  EXPECT_LE(failed, 4);  // of 100: three until it is left, and one trial
+}
+
 TEST(Overload, ServersAreNotHandedMoreThanTheyCanHold) {
   Settings s = basic_settings();
   s.plans[0].rate = s.plans[0].burst = 1000;
