--- a/include/cottonroad/gateway.hpp
+++ b/include/cottonroad/gateway.hpp
@@ -124,11 +124,21 @@
   int set_size = 1;       // gateways through which this customer may come
   int first_gateway = 0;  // position of the first of them; the others follow, counted round
   bool client_retry = false;
+  bool uploading = false;  // its body is still to come, and `deadline` with it
 };
+// All of an uploading request has come.
+struct BodyArrived {
+  std::string id;
+  Micros deadline = 0;
+};
+// An answer has begun to pass on to the client; no other can follow. The attempt's end comes later.
 struct StreamStarted {
   std::string id;
   int attempt = 0;
   std::string server;
+  Micros duration = 0;
+  double billed = 0;  // as of AttemptEnded
+  LoadReport load;
 };
 struct AttemptEnded {
   std::string id;
@@ -140,6 +150,7 @@
   int meter = 0;          // 1 + percent of its quota that the customer used; 0: not said
   double billed = 0;      // true units, where units are settled later
   LoadReport load;
+  bool repeatable = true;  // else its body has been passed on and is not here any more
 };
 struct ClientGone {
   std::string id;
@@ -161,7 +172,7 @@
   Micros duration = 0;
 };
 using Event = std::variant<ServerListUpdate, RequestArrived, StreamStarted, AttemptEnded, ClientGone,
-                           TimerFired, ProbeEnded, CounterAnswered, ServerSwitched>;
+                           TimerFired, ProbeEnded, CounterAnswered, ServerSwitched, BodyArrived>;
 
 // ---- Actions ------------------------------------------------------------------------------------------
 struct SendAttempt {
--- a/src/brain.cpp
+++ b/src/brain.cpp
@@ -585,7 +585,8 @@
   Micros sent = 0;
   bool out = true;
   bool may_have_run = true;
-  bool blamed = false;  // cancelled by us because its server had stalled
+  bool blamed = false;   // cancelled by us because its server had stalled
+  bool counted = false;  // for its server, since its answer has begun
 };
 
 struct Request {
@@ -602,7 +603,8 @@
   bool over = false;   // beyond the quota as far as we know
   bool done = false;
   bool held = false;
-  bool waits = false;  // for the first total of its customer
+  bool waits = false;      // for the first total of its customer
+  bool uploading = false;  // no work at a server yet
   int out = 0;
   std::vector<Attempt> attempts;
 };
@@ -658,7 +660,29 @@
   }
   void on(const StreamStarted& e) {
     auto it = requests_.find(e.id);
-    if (it != requests_.end()) it->second.done = true;  // the attempt is the client's now
+    if (it == requests_.end()) return;
+    Request& r = it->second;
+    r.done = true;  // the attempt is the client's now
+    if (e.attempt < 0 || e.attempt >= int(r.attempts.size()) || e.duration <= 0) return;
+    Attempt& a = r.attempts[std::size_t(e.attempt)];
+    if (!a.out || std::exchange(a.counted, true)) return;
+    if (std::exchange(r.uploading, false)) servers_.sent(now_, *a.server, 0);
+    // Danger: a large answer takes as long as its client likes; its server has done its work by now.
+    count(r, a, Outcome::kOk, e.duration, e.billed, e.load);
+  }
+  void on(const BodyArrived& e) {
+    auto it = requests_.find(e.id);
+    if (it == requests_.end() || !it->second.uploading) return;
+    Request& r = it->second;
+    r.uploading = false;
+    r.give_up = give_up(*r.cls, e.deadline);
+    for (std::size_t i = 0; i < r.attempts.size(); ++i) {
+      Attempt& a = r.attempts[i];
+      if (!a.out) continue;
+      a.sent = now_;  // its server begins only now
+      servers_.sent(now_, *a.server, r.expected / kSecond);
+      watch(r, int(i), Micros(kDoubtAfter * r.expected));
+    }
   }
   void on(const ProbeEnded&) {}
   void on(const CounterAnswered& e) {
@@ -717,7 +741,8 @@
     r.expected = expected(*cls, e.units);
     r.value = cls->worth * plan->price * e.units / r.expected;
     r.arrived = now_;
-    r.give_up = cls->late_worth > 0 ? e.deadline : std::min(e.deadline, now_ + cls->aim);
+    r.uploading = e.uploading;
+    r.give_up = e.uploading ? e.deadline : give_up(*cls, e.deadline);
     // Danger: where each of a hundred gateways meets a customer now and then, none would ever know a total
     // when it is needed. The first request waits for it, a counter's time-out at most.
     if (slices_.call(now_, e.customer, c, *out_) &&
@@ -753,6 +778,9 @@
     forget(requests_.find(r.id));
   }
 
+  Micros give_up(const ClassSettings& cls, Micros deadline) const {
+    return cls.late_worth > 0 ? deadline : std::min(deadline, now_ + cls.aim);
+  }
   double mean_of(const ClassSettings& cls) const {
     return means_[index(cls)] > 0 ? means_[index(cls)] : double(cls.aim) / 6;
   }
@@ -796,7 +824,7 @@
       if (r.customer->plan->ceiling_rate > 0) r.customer->ceiling -= r.units;
       retries_ = std::min(kRetryBurst, retries_ + kRetryShare);
     }
-    servers_.sent(now_, *s, work);
+    if (!r.uploading) servers_.sent(now_, *s, work);
     r.attempts.push_back({s, now_});
     ++r.out;
     ++r.customer->open;
@@ -806,7 +834,7 @@
   }
 
   void watch(const Request& r, int attempt, Micros after) {
-    if (now_ + after >= r.give_up) return;
+    if (r.uploading || now_ + after >= r.give_up) return;
     timers_[++timer_] = {r.id, attempt};
     emit(SetTimer{now_ + after, timer_});
   }
@@ -833,6 +861,18 @@
     watch(r, index, Micros(kDoubtAfter * r.expected));
   }
 
+  // What an attempt that was answered, or will not be, tells of its server and takes of the quota.
+  void count(Request& r, Attempt& a, Outcome o, Micros duration, double billed, const LoadReport& load) {
+    double& m = means_[index(*r.cls)];
+    if (o == Outcome::kOk) m += (m > 0 ? kMeanGain : 1.0) * (double(duration) - m);
+    const double mean = mean_of(*r.cls);
+    // Danger: a gateway that stood still finds answers old; what they say they took counts, not the clock.
+    const double over_aim = double(duration) / double(std::max<Micros>(1, r.cls->aim)) * mean / r.expected;
+    if (servers_.ended(now_, *a.server, o, double(duration) / r.expected, over_aim, mean, a.blamed, load))
+      log("server", a.server->entry.server + " ejected: failures in a row");
+    if (settings_.settles_later && billed > 0 && !r.over) slices_.take(*r.customer, billed - r.units);
+  }
+
   void on(const AttemptEnded& e) {
     auto it = requests_.find(e.id);
     if (it == requests_.end() || e.attempt < 0 || e.attempt >= int(it->second.attempts.size())) return;
@@ -844,19 +884,12 @@
     --r.customer->open;
     using O = Outcome;
     a.may_have_run = !(e.outcome == O::kFull || e.outcome == O::kConnectFailed || e.outcome == O::kNotSent);
-    double& m = means_[index(*r.cls)];
-    if (e.outcome == O::kOk) m += (m > 0 ? kMeanGain : 1.0) * (double(e.duration) - m);
-    const double mean = mean_of(*r.cls);
-    // Danger: a gateway that stood still finds answers old; what they say they took counts, not the clock.
-    const double over_aim = double(e.duration) / double(std::max<Micros>(1, r.cls->aim)) * mean / r.expected;
-    if (servers_.ended(now_, *a.server, e.outcome, double(e.duration) / r.expected, over_aim, mean, a.blamed,
-                       e.load))
-      log("server", a.server->entry.server + " ejected: failures in a row");
-    if (settings_.settles_later && e.billed > 0 && !r.over) slices_.take(*r.customer, e.billed - r.units);
+    if (r.uploading) servers_.sent(now_, *a.server, 0);  // ended before its server was handed any work
+    if (!a.counted) count(r, a, e.outcome, e.duration, e.billed, e.load);
     if (e.finished) finish(r);
     if (!r.done && r.out == 0) {
       const bool cheap = !a.may_have_run || a.blamed;
-      const bool again = cheap || retries_ >= 1;
+      const bool again = e.repeatable && (cheap || retries_ >= 1);
       if (again && send(r)) {
         if (!cheap) retries_ -= 1;
       } else if (again && !a.may_have_run && int(r.attempts.size()) < settings_.max_attempts) {
--- a/src/net/driver.cpp
+++ b/src/net/driver.cpp
@@ -17,10 +17,18 @@
 constexpr Micros kBackstop = 10'000;     // us past our deadline, before the client's: the module said nothing
 constexpr Micros kHandOver = 1'000'000;  // us; clients go on connecting for up to 0.4 s after SIGTERM
 constexpr Micros kLookDrained = 20'000;
-constexpr std::size_t kClientMemory = 400 << 10;  // bytes a client may come to, bodies and buffers
+constexpr Micros kUploadMost = 3600'000'000;  // us; slow clients are the front's to cut off
+constexpr std::size_t kOther =
+    24;  // descriptors beside clients' and servers': second address, counter, discovery
+constexpr double kServersShare = 0.4;            // of the others
+constexpr std::size_t kClientMemory = 64 << 10;  // bytes a client may come to when bodies are tight
+constexpr std::size_t kBodiesShare =
+    6;  // of the memory, one part for held bodies; buffers on the way take as much
 
+std::size_t most_servers(const Config& c) { return std::size_t(kServersShare * double(c.sockets - kOther)); }
 std::size_t most_clients(const Config& c) {
-  return std::max<std::size_t>(16, std::min(c.sockets / 2, c.memory_mb * (1 << 20) / kClientMemory));
+  return std::max<std::size_t>(
+      16, std::min(c.sockets - kOther - most_servers(c), c.memory_mb * (1 << 20) / kClientMemory));
 }
 
 }  // namespace
@@ -31,11 +39,14 @@
       timers_(io, clock_),
       gateway_(config.settings, config.seed),
       metrics_(settings_),
-      upstream_(
-          io, timers_, clock_,
-          {config.conn_idle, config.dial_timeout, std::max<std::size_t>(8, config.sockets * 2 / 5)},
-          [this](AttemptKey key, AttemptResult result) { ended(key, std::move(result)); },
-          [this] { metrics_.wrote_attempt(); }),
+      budget_(config.memory_mb * (1 << 20) / kBodiesShare),
+      upstream_(io, timers_, clock_, {config.conn_idle, config.dial_timeout, most_servers(config)}, budget_,
+                {[this](AttemptKey key, AttemptResult result) { ended(key, std::move(result)); },
+                 [this] { metrics_.wrote_attempt(); },
+                 [this](AttemptKey key, const AttemptResult& head, std::optional<std::uint64_t> length) {
+                   begun(key, head, length);
+                 },
+                 [this](AttemptKey key, std::string bytes) { piece(key, std::move(bytes)); }}),
       disabled_(timers_, config.shared_directory,
                 [this](const std::string& server, bool disabled) { switched(server, disabled); }),
       discovery_(io, timers_, clock_, config.discovery, config.known.revision,
@@ -43,10 +54,10 @@
                    using Kind = ServerListUpdate::Kind;
                    told(list, list.complete ? Kind::kComplete : Kind::kPartial);
                  }),
-      frontend_(
-          io, timers_, clock_, settings_, most_clients(config),
-          [this](std::uint64_t client, ClientRequest r) { return took(client, std::move(r)); },
-          [this](std::uint64_t id) { gone(id); }) {
+      frontend_(io, timers_, clock_, settings_, most_clients(config), budget_,
+                {[this](std::uint64_t client, ClientRequest r) { return took(client, std::move(r)); },
+                 [this](std::uint64_t id) { uploaded(id); }, [this](std::uint64_t id) { gone(id); },
+                 [this](std::uint64_t id) { room(id); }}) {
   if (config.counter) {
     counter_.emplace(io, timers_, clock_, *config.counter, settings_.counter_timeout, config.dial_timeout,
                      [this](CounterAnswered a) { push(std::move(a)); });
@@ -73,26 +84,54 @@
 // ---- What happened ------------------------------------------------------------------------------------
 std::uint64_t Driver::took(std::uint64_t client, ClientRequest request) {
   const std::uint64_t id = ++last_;
-  const Micros now = clock_.now(), patience = request.patience;
   Request& r = requests_[id];
   r.client = client;
-  r.deadline = now + patience - std::min(kEarly, Micros(kEarlyShare * double(patience)));
+  r.patience = request.patience;
   r.outgoing = std::move(request.outgoing);
   r.request_class = request.arrived.request_class;
   ++in_progress_;
   request.arrived.id = std::to_string(id);  // ours, since a client's may come twice
+  request.arrived.uploading = r.outgoing.upload != nullptr;
+  if (r.outgoing.upload)
+    r.deadline = clock_.now() + kUploadMost;  // a client waits from its last byte on
+  else
+    start_clock(id, r);
   request.arrived.deadline = r.deadline;
-  timers_.at(r.deadline + kBackstop, [this, id] { overdue(id); });
   push(std::move(request.arrived));
   return id;
 }
 
-void Driver::gone(std::uint64_t id) {
+void Driver::start_clock(std::uint64_t id, Request& r) {
+  r.deadline = clock_.now() + r.patience - std::min(kEarly, Micros(kEarlyShare * double(r.patience)));
+  timers_.at(r.deadline + kBackstop, [this, id] { overdue(id); });
+}
+
+void Driver::uploaded(std::uint64_t id) {
   const auto it = requests_.find(id);
   if (it == requests_.end() || it->second.answered) return;
-  it->second.answered = true;
-  --in_progress_;
+  Request& r = it->second;
+  start_clock(id, r);
+  for (std::size_t i = 0; i < r.attempts.size(); ++i) {
+    if (!r.attempts[i].out) continue;
+    r.attempts[i].sent = clock_.now();  // its server begins only now
+    timers_.at(r.deadline, [this, key = AttemptKey{id, int(i)}] { expire(key); });
+  }
+  push(BodyArrived{std::to_string(id), r.deadline});
+}
+
+void Driver::gone(std::uint64_t id) {
+  const auto it = requests_.find(id);
+  if (it == requests_.end()) return;
+  Request& r = it->second;
+  if (r.answered && !(r.begun && r.attempts.back().out)) return;
+  if (!std::exchange(r.answered, true)) --in_progress_;
   push(ClientGone{std::to_string(id)});
+  // Nobody takes the rest of an answer, so nobody would ask for it either.
+  if (r.begun) {
+    const AttemptKey key{id, int(r.attempts.size()) - 1};
+    upstream_.abandon(key);
+    return ended(key, {Outcome::kCancelled, {}, {}, 0});
+  }
   forget(it);
 }
 
@@ -114,6 +153,27 @@
   push(std::move(update));
 }
 
+void Driver::begun(AttemptKey key, const AttemptResult& head, std::optional<std::uint64_t> length) {
+  const auto it = requests_.find(key.request);
+  if (it == requests_.end() || it->second.answered) return;
+  Request& r = it->second;
+  Attempt& a = r.attempts.at(std::size_t(key.attempt));
+  r.answered = r.begun = true;
+  push(StreamStarted{std::to_string(key.request), key.attempt, a.server, clock_.now() - a.sent, head.billed,
+                     head.load});
+  frontend_.begin(r.client, length);
+}
+
+void Driver::piece(AttemptKey key, std::string bytes) {
+  const auto it = requests_.find(key.request);
+  if (it != requests_.end() && it->second.begun) frontend_.piece(it->second.client, std::move(bytes));
+}
+
+void Driver::room(std::uint64_t id) {
+  const auto it = requests_.find(id);
+  if (it != requests_.end() && it->second.begun) upstream_.more({id, int(it->second.attempts.size()) - 1});
+}
+
 void Driver::ended(AttemptKey key, AttemptResult result) {
   const auto it = requests_.find(key.request);
   if (it == requests_.end()) return;
@@ -131,7 +191,12 @@
   e.duration = clock_.now() - a.sent;
   e.load = result.load;
   e.billed = result.billed;
-  if (result.outcome == Outcome::kOk) {
+  e.repeatable = !r.outgoing.upload || !r.outgoing.upload->begun();
+  if (r.begun) {
+    const bool whole = result.outcome == Outcome::kOk;
+    over(r, whole ? 200 : 502);
+    whole ? frontend_.finish(r.client) : frontend_.cut(r.client);
+  } else if (result.outcome == Outcome::kOk) {
     Answer served;
     served.status = 200;
     served.body = std::move(result.body);
@@ -144,7 +209,8 @@
 
 void Driver::expire(AttemptKey key) {
   const auto it = requests_.find(key.request);
-  if (it == requests_.end() || !it->second.attempts.at(std::size_t(key.attempt)).out) return;
+  if (it == requests_.end() || !it->second.attempts.at(std::size_t(key.attempt)).out || it->second.begun)
+    return;
   const bool written = upstream_.abandon(key);
   ended(key, {written ? Outcome::kTimeout : Outcome::kConnectFailed, {}, {}});
 }
@@ -186,8 +252,10 @@
     asio::post(io_, [this, key] { ended(key, {Outcome::kNotSent, {}, {}}); });
     return;
   }
-  timers_.at(until, [this, key] { expire(key); });
-  upstream_.send(key, a.server, r.outgoing, until);
+  const Upload* const upload = r.outgoing.upload.get();
+  const bool uploading = upload && !upload->finished();
+  if (!uploading) timers_.at(until, [this, key] { expire(key); });
+  upstream_.send(key, a.server, r.outgoing, uploading ? now + r.patience : until);
 }
 
 void Driver::act(const CancelAttempt& a) {
@@ -238,11 +306,15 @@
 
 void Driver::answer(Request& r, Answer answer) {
   if (std::exchange(r.answered, true)) return;  // one final answer, and only one
-  --in_progress_;
-  metrics_.answered(r.request_class, answer.status);
+  over(r, answer.status);
   frontend_.answer(r.client, std::move(answer));
 }
 
+void Driver::over(Request& r, int status) {
+  --in_progress_;
+  metrics_.answered(r.request_class, status);
+}
+
 void Driver::forget(Requests::iterator it) {
   if (it->second.answered && it->second.out == 0) requests_.erase(it);
 }
--- a/src/net/driver.hpp
+++ b/src/net/driver.hpp
@@ -58,7 +58,9 @@
     std::uint64_t client = 0;
     Micros deadline = 0;
     bool answered = false;
-    bool late = false;  // its last attempt timed out
+    bool late = false;   // its last attempt timed out
+    bool begun = false;  // its answer is passed on as it comes
+    Micros patience = 0;
     std::string request_class;
     int out = 0;
     Outgoing outgoing;
@@ -68,8 +70,13 @@
 
   std::uint64_t took(std::uint64_t client, ClientRequest request);
   void gone(std::uint64_t id);
+  void uploaded(std::uint64_t id);
   void overdue(std::uint64_t id);
+  void start_clock(std::uint64_t id, Request& request);
   void told(const MemberList& list, ServerListUpdate::Kind kind);
+  void begun(AttemptKey key, const AttemptResult& head, std::optional<std::uint64_t> length);
+  void piece(AttemptKey key, std::string bytes);
+  void room(std::uint64_t id);
   void ended(AttemptKey key, AttemptResult result);
   void expire(AttemptKey key);
   void switched(const std::string& server, bool disabled);
@@ -88,6 +95,7 @@
 
   Requests::iterator find(const std::string& id);
   void answer(Request& request, Answer answer);
+  void over(Request& request, int status);
   void forget(Requests::iterator it);
   void look_drained();
   std::string figures();
@@ -105,6 +113,7 @@
   Micros drain_until_ = 0;
   Metrics metrics_;
   std::size_t in_progress_ = 0;  // requests without a final answer whose client is there
+  BodyBudget budget_;
   Upstream upstream_;
   Disabled disabled_;
   std::optional<Counter> counter_;
--- a/src/net/frontend.cpp
+++ b/src/net/frontend.cpp
@@ -4,12 +4,13 @@
 #include <array>
 #include <boost/asio/buffer.hpp>
 #include <boost/asio/write.hpp>
+#include <boost/beast/core/string.hpp>
 #include <boost/beast/http/parser.hpp>
-#include <boost/beast/http/string_body.hpp>
 #include <charconv>
 #include <cmath>
 #include <cstdio>
 #include <iostream>
+#include <limits>
 #include <optional>
 #include <stdexcept>
 #include <string_view>
@@ -21,15 +22,16 @@
 namespace http = boost::beast::http;
 using asio::ip::tcp;
 using boost::system::error_code;
-using RequestParser = http::request_parser<http::string_body>;
+using RequestParser = http::request_parser<http::buffer_body>;
 
 constexpr std::uint32_t kMostHeader = 8 << 10;
-constexpr std::uint64_t kMostBody = 64 << 10;
 constexpr std::size_t kMostAhead = 16 << 10;  // read while a request is held
 constexpr Micros kSlowClient = 10'000'000;    // us for the rest of a request, or to take an answer
-constexpr Micros kStranger = 2'000'000;  // us for a first whole request; with kSweep, under the terms' 3 s
-constexpr Micros kLinger = 1'000'000;    // us for a client to read an answer before the close
-constexpr Micros kSweep = 500'000;
+constexpr Micros kStranger =
+    2'400'000;  // us for a first head, which may take 2 s; with kSweep, under the terms' 3 s
+constexpr double kBodyRate = 60e3;     // bytes a second that a client sends at the least; it owes 64 kB
+constexpr Micros kLinger = 1'000'000;  // us for a client to read an answer before the close
+constexpr Micros kSweep = 200'000;
 constexpr Micros kLongestPatience = 3600'000'000;
 
 // What a client sent that is no request of ours; answered 400.
@@ -77,7 +79,7 @@
   return text.size() == 16 && text.find_first_not_of("0123456789abcdefABCDEF") == std::string_view::npos;
 }
 
-ClientRequest parse_request(http::request<http::string_body>& r, const Settings& settings) {
+ClientRequest parse_request(const RequestParser::value_type& r, const Settings& settings) {
   ClientRequest out;
   RequestArrived& a = out.arrived;
   const std::string_view target = view(r.target());
@@ -104,7 +106,6 @@
   out.outgoing.method = std::string(view(r.method_string()));
   out.outgoing.target = std::string(target);
   out.outgoing.host = std::string(view(r[http::field::host]));
-  out.outgoing.body = std::move(r.body());
   return out;
 }
 
@@ -120,128 +121,279 @@
  public:
   enum class State { kBetween, kReading, kHeld, kWriting, kClosing, kClosed };
   Session(Frontend& front, std::uint64_t client, tcp::socket socket)
-      : front_(front), client_(client), socket_(std::move(socket)), connected_(front.clock_.now()) {}
+      : front_(front), client_(client), socket_(std::move(socket)), share_(front.budget_) {
+    error_code ignored;
+    socket_.set_option(tcp::no_delay(true), ignored);
+    socket_.non_blocking(true, ignored);
+  }
 
+  // Nothing is read before there is something to read, so that a connection without a request costs little.
   void read() {
-    if (reading_ || state_ == State::kClosed || pending_.size() > kMostAhead) return;
+    if (reading_ || state_ == State::kClosed || pending_.size() > kMostAhead || upload_full()) return;
     reading_ = true;
-    socket_.async_read_some(asio::buffer(chunk_),
-                            [this, self = shared_from_this()](error_code ec, std::size_t n) {
-                              reading_ = false;
-                              if (state_ == State::kClosed) return;
-                              if (ec == asio::error::operation_aborted) return left();
-                              if (ec) return close();
-                              if (state_ != State::kClosing) pending_.append(chunk_.data(), n);
-                              if (state_ == State::kBetween || state_ == State::kReading) parse();
-                              read();
-                            });
+    socket_.async_wait(tcp::socket::wait_read, [this, self = shared_from_this()](error_code ec) {
+      reading_ = false;
+      if (state_ == State::kClosed) return;
+      std::size_t size = 0;
+      if (!ec) size = socket_.read_some(asio::buffer(front_.chunk_), ec);
+      if (ec == asio::error::would_block) return read();
+      if (ec) return close();
+      touched_ = front_.clock_.now();
+      if (!discards_ && state_ != State::kClosing) pending_.append(front_.chunk_.data(), size);
+      parse();
+      read();
+    });
   }
 
   void answer(const Answer& a) {
     if (state_ != State::kHeld) return;
     request_ = 0;
-    write(a, front_.draining_ || !keep_alive_);
+    write(a, closes());
   }
 
-  // Unless a request is there already. Danger: it may have been read with its handler still to run; a
-  // cancelled read tells whether it was.
-  void leave() {
+  void begin(std::optional<std::uint64_t> length) {
+    if (state_ != State::kHeld) return;
+    // A client of HTTP/1.0 knows no chunks; there the end of the connection is the end of the answer.
+    framing_ = length ? Framing::kLength : version_ >= 11 ? Framing::kChunked : Framing::kClose;
+    passing_ = true;
+    last_ = closes() || framing_ == Framing::kClose;
+    out_ = "HTTP/1.1 200 OK";
+    if (length) out_ += "\r\nContent-Length: " + std::to_string(*length);
+    if (framing_ == Framing::kChunked) out_ += "\r\nTransfer-Encoding: chunked";
+    if (last_) out_ += "\r\nConnection: close";
+    out_ += "\r\n\r\n";
+    drop_upload();
+    enter(State::kWriting);
+    flush();
+  }
+  void piece(const std::string& bytes) {
+    if (!passing_) return;
+    if (framing_ == Framing::kChunked) {
+      char size[24];
+      std::snprintf(size, sizeof size, "%zx\r\n", bytes.size());
+      next_.append(size).append(bytes).append("\r\n");
+    } else {
+      next_ += bytes;
+    }
+    flush_next();
+  }
+  void finish() {
+    if (!passing_) return;
+    passing_ = false;
+    request_ = 0;
+    if (framing_ == Framing::kChunked) next_ += "0\r\n\r\n";
+    if (!writing_) next_.empty() ? wrote() : flush_next();
+  }
+  // With a reset, which no client takes for the end of an answer.
+  void cut() {
     error_code ignored;
-    if (state_ != State::kBetween) return;
-    if (!reading_) return left();
-    socket_.cancel(ignored);
+    socket_.set_option(asio::socket_base::linger(true, 0), ignored);
+    close();
+  }
+
+  // Between requests, with none there unread.
+  void leave() {
+    error_code ec;
+    if (state_ == State::kBetween && socket_.available(ec) == 0) close();
   }
   void close_between() {
     if (served_) leave();
   }
-  // Danger: a gateway that stood still finds requests unread that came in time; what is there is read first.
-  void close_stranger() {
+  // What has no request under way may go for one that has; what never sent a byte goes first.
+  bool may_go() const {
     error_code ec;
-    const bool waiting = state_ == State::kBetween || state_ == State::kReading;
-    const Micros since = state_ == State::kBetween ? since_ : connected_;
-    if (waiting && !served_ && front_.clock_.now() - since > kStranger && socket_.available(ec) == 0) close();
+    return (state_ == State::kBetween || state_ == State::kReading) && socket_.available(ec) == 0;
+  }
+  std::pair<bool, Micros> worth() const { return {served_ || state_ == State::kReading, touched_}; }
+
+  void close_if_slow(Micros now) {
+    const Micros stood = now - since_;
+    const auto body = Micros(double(received_) / kBodyRate * 1e6);
+    const bool receiving = state_ == State::kReading || (state_ == State::kHeld && upload_ && !upload_full());
+    if (state_ == State::kWriting && now - progress_ > kSlowClient) return cut();
+    if (state_ == State::kClosing && (now - touched_ > kLinger || stood > kSlowClient) && stood > kLinger)
+      return close();
+    error_code ec;
+    // Danger: a gateway that stood still finds requests unread that came in time; what is there is read
+    // first.
+    if (served_
+            ? receiving && stood > kSlowClient + body
+            : (receiving || state_ == State::kBetween) && now - awaited_since_ > kStranger + held_up_ + body)
+      if (socket_.available(ec) == 0) close();
   }
   void close() {
     if (state_ == State::kClosed) return;
     const State was = std::exchange(state_, State::kClosed);
     error_code ignored;
     socket_.close(ignored);
-    if (was == State::kHeld) front_.gone_(request_);
+    drop_upload();
+    if (was == State::kHeld || passing_) front_.calls_.gone(request_);
     front_.erase(client_);
   }
   State state() const { return state_; }
-  Micros since() const { return since_; }
-  std::uint64_t client() const { return client_; }
 
  private:
-  void left() {
-    error_code ec;
-    state_ == State::kBetween&& socket_.available(ec) == 0 ? close() : read();
-  }
+  enum class Framing { kLength, kChunked, kClose };
+
   void enter(State state) {
     state_ = state;
-    since_ = front_.clock_.now();
+    since_ = progress_ = front_.clock_.now();
+  }
+  bool closes() const { return front_.draining_ || !keep_alive_ || upload_; }
+  bool upload_full() const { return upload_ && upload_->size() >= front_.budget_.whole(); }
+  bool receiving() const {
+    return state_ == State::kBetween || state_ == State::kReading || (state_ == State::kHeld && upload_);
+  }
+  // What is still to come of a body that nobody wants any more is read and thrown away, so that the client,
+  // which may write it to its end first, finds the answer.
+  void drop_upload() {
+    if (!upload_) return;
+    upload_->wanted = upload_->room = nullptr;
+    upload_.reset();
+    parser_.reset();
+    pending_.clear();
+    discards_ = true;
   }
 
   void parse() {
-    while (!pending_.empty() && (state_ == State::kBetween || state_ == State::kReading)) {
+    while (!pending_.empty() && receiving()) {
       if (!parser_) {
         parser_.emplace();
         parser_->eager(true);
         parser_->header_limit(kMostHeader);
         parser_->body_limit(kMostBody);
+        received_ = 0;
+        headed_ = false;
         enter(State::kReading);
       }
       error_code ec;
-      const std::size_t used = parser_->put(asio::buffer(pending_), ec);
+      const std::size_t before = body_.size(), used = put(*parser_, pending_, body_, ec);
+      received_ += body_.size() - before;
       pending_.erase(0, used);
-      if (ec == http::error::need_more) {
-        if (pending_.size() > kMostHeader) refuse(413, "header too large");
-        return;
-      }
-      if (ec) {
+      if (ec && ec != http::error::need_more) {
         const bool large = ec == http::error::body_limit || ec == http::error::header_limit;
-        return refuse(large ? 413 : 400, ec.message());
+        return malformed(large ? 413 : 400, ec.message());
       }
+      if (parser_->is_header_done() && !std::exchange(headed_, true) && !head()) return;
+      if (headed_) pass_body();
       if (parser_->is_done()) {
         whole();
-      } else if (used == 0) {
+      } else if (ec == http::error::need_more || used == 0) {
+        if (pending_.size() > kMostHeader) malformed(413, "header too large");
         return;
       }
     }
   }
 
+  // The head of a request has come. False: it is none of ours.
+  bool head() {
+    const auto& message = parser_->get();
+    keep_alive_ = message.keep_alive();
+    version_ = message.version();
+    expects_ = boost::beast::iequals(message[http::field::expect], "100-continue");
+    health_ = message.method() == http::verb::get && message.target() == "/_health";
+    if (health_) return true;
+    try {
+      incoming_ = parse_request(message, front_.settings_);
+    } catch (const BadRequest& e) {
+      malformed(400, e.what());
+      return false;
+    }
+    if (parser_->content_length().value_or(0) <= kMostBody) return true;
+    malformed(413, "body too large");
+    return false;
+  }
+
+  // A body is held while it is small; a larger one goes on to a server as it comes.
+  void pass_body() {
+    const auto length = parser_->content_length();
+    if (upload_) {
+      upload_->put(std::exchange(body_, {}));
+      share_.set(upload_->size());
+      if (upload_full() && upload_was_full_ == 0) upload_was_full_ = front_.clock_.now();
+    } else if (health_) {
+      body_.clear();
+    } else if (!parser_->is_done() &&
+               std::max<std::uint64_t>(length.value_or(0), body_.size()) > front_.budget_.whole()) {
+      begin_upload(length ? std::optional<std::uint64_t>(*length) : std::nullopt);
+    } else {
+      share_.set(body_.size());
+      if (!parser_->is_done()) invite();
+    }
+  }
+
+  void begin_upload(std::optional<std::uint64_t> length) {
+    upload_ = std::make_shared<Upload>(length);
+    upload_->put(std::exchange(body_, {}));
+    share_.set(upload_->size());
+    upload_->wanted = [weak = weak_from_this()] {
+      if (const auto self = weak.lock()) self->invite();
+    };
+    incoming_->outgoing.upload = upload_;
+    enter(State::kHeld);
+    request_ = front_.calls_.took(client_, std::move(*incoming_));
+    incoming_.reset();
+    await_room();
+  }
+  void await_room() {
+    upload_->room = [weak = weak_from_this()] {
+      const auto self = weak.lock();
+      if (!self || !self->upload_) return;
+      const Micros now = self->front_.clock_.now();
+      if (self->upload_was_full_ > 0) self->held_up_ += now - std::exchange(self->upload_was_full_, 0);
+      self->since_ = now;
+      self->share_.set(0);
+      self->await_room();
+      self->read();
+    };
+    if (upload_full() && upload_was_full_ == 0) upload_was_full_ = front_.clock_.now();
+  }
+
+  // Tells a client that asked first to send the body on. So few bytes always fit what the kernel takes.
+  void invite() {
+    error_code ignored;
+    if (std::exchange(expects_, false))
+      socket_.write_some(asio::buffer(std::string_view("HTTP/1.1 100 Continue\r\n\r\n")), ignored);
+  }
+
   // A request has come whole.
   void whole() {
-    auto message = parser_->release();
     parser_.reset();
-    keep_alive_ = message.keep_alive();
-    if (message.method() == http::verb::get && message.target() == "/_health") {
-      Answer health;
+    served_ = served_ || !health_;
+    if (upload_) {
+      const auto upload = std::exchange(upload_, nullptr);
+      upload->wanted = upload->room = nullptr;
+      share_.set(0);
+      upload->finish();
+      return front_.calls_.uploaded(request_);
+    }
+    if (health_) {
       // On an inherited socket the address stays served, by the successor.
       const bool going = front_.draining_ && !front_.inherited_;
+      Answer health;
       health.status = going ? 503 : 200;
       health.body = going ? "draining\n" : "ok\n";
-      return write(health, front_.draining_ || !keep_alive_);
-    }
-    try {
-      ClientRequest request = parse_request(message, front_.settings_);
-      served_ = true;
-      enter(State::kHeld);
-      request_ = front_.took_(client_, std::move(request));
-    } catch (const BadRequest& e) {
-      refuse(400, e.what());
+      return write(health, closes());
     }
+    incoming_->outgoing.body = std::exchange(body_, {});
+    enter(State::kHeld);
+    request_ = front_.calls_.took(client_, std::move(*incoming_));
+    incoming_.reset();
   }
 
-  void refuse(int status, const std::string& why) {
+  void malformed(int status, const std::string& why) {
+    if (state_ == State::kHeld) return close();  // in the middle of a body that a server has begun to get
     Answer a;
     a.status = status;
     a.body = why + "\n";
+    discards_ = true;
     write(a, true);
   }
 
   void write(const Answer& a, bool last) {
+    last_ = last;
+    drop_upload();
+    body_.clear();
     enter(State::kWriting);
     out_ = "HTTP/1.1 " + std::to_string(a.status) + " " + reason(a.status) +
            "\r\nContent-Length: " + std::to_string(a.body.size());
@@ -253,17 +405,41 @@
     }
     if (last) out_ += "\r\nConnection: close";
     out_.append("\r\n\r\n").append(a.body);
-    asio::async_write(socket_, asio::buffer(out_),
-                      [this, last, self = shared_from_this()](error_code ec, std::size_t) {
-                        if (state_ != State::kWriting) return;
-                        if (ec) return close();
-                        wrote(last);
-                      });
+    flush();
+  }
+
+  void flush_next() {
+    if (writing_ || next_.empty()) return;
+    out_ = std::exchange(next_, {});
+    flush();
+  }
+  void flush() {
+    writing_ = true;
+    progress_ = front_.clock_.now();
+    share_.set(out_.size() + next_.size());
+    write_some(0);
+  }
+  void write_some(std::size_t from) {
+    socket_.async_write_some(asio::buffer(out_) + from,
+                             [this, from, self = shared_from_this()](error_code ec, std::size_t size) {
+                               if (state_ != State::kWriting) return;
+                               if (ec) return close();
+                               progress_ = front_.clock_.now();
+                               if (from + size < out_.size()) return write_some(from + size);
+                               writing_ = false;
+                               if (!next_.empty()) return flush_next();
+                               if (!passing_) return wrote();
+                               share_.set(0);
+                               progress_ = kNever;  // it is the server that is awaited
+                               front_.calls_.room(request_);
+                             });
   }
 
-  void wrote(bool last) {
-    if (out_.capacity() > kMostAhead) out_ = {};
-    if (last) {
+  void wrote() {
+    out_ = {};
+    awaited_since_ = front_.clock_.now();
+    share_.set(0);
+    if (last_) {
       // Danger: a close with input unread resets the connection and may take the answer with it.
       error_code ignored;
       socket_.shutdown(tcp::socket::shutdown_send, ignored);
@@ -277,28 +453,37 @@
     read();
   }
 
+  static constexpr Micros kNever = std::numeric_limits<Micros>::max() / 2;
   Frontend& front_;
   const std::uint64_t client_;
   tcp::socket socket_;
-  const Micros connected_;
   State state_ = State::kBetween;
-  Micros since_ = connected_;
-  std::uint64_t request_ = 0;
-  std::array<char, 4096> chunk_;
-  std::string pending_, out_;
+  Micros awaited_since_ = front_.clock_.now();  // a request, from a peer that is none of ours yet
+  Micros since_ = awaited_since_, touched_ = awaited_since_;  // in this state; last heard of
+  Micros progress_ = awaited_since_;                          // of the answer
+  Micros held_up_ = 0, upload_was_full_ = 0;                  // us, instant: by us, not by the client
+  std::uint64_t request_ = 0, received_ = 0;
+  std::string pending_, body_, out_, next_;
   std::optional<RequestParser> parser_;
-  bool reading_ = false, keep_alive_ = true, served_ = false;
+  std::optional<ClientRequest> incoming_;
+  std::shared_ptr<Upload> upload_;
+  BodyBudget::Share share_;
+  unsigned version_ = 11;
+  Framing framing_ = Framing::kLength;
+  bool reading_ = false, writing_ = false, keep_alive_ = true, served_ = false, headed_ = false;
+  bool health_ = false, expects_ = false, discards_ = false, passing_ = false, last_ = false;
 };
 
 Frontend::Frontend(asio::io_context& io, Timers& timers, const Clock& clock, const Settings& settings,
-                   std::size_t most_clients, Took took, Gone gone)
+                   std::size_t most_clients, BodyBudget& budget, Calls calls)
     : io_(io),
       timers_(timers),
       clock_(clock),
       settings_(settings),
       most_clients_(most_clients),
-      took_(std::move(took)),
-      gone_(std::move(gone)),
+      budget_(budget),
+      calls_(std::move(calls)),
+      chunk_(kReadSize),
       acceptor_(io) {
   sweep();
 }
@@ -322,29 +507,27 @@
   accepting_ = true;
   acceptor_.async_accept([this](error_code ec, tcp::socket socket) {
     accepting_ = false;
-    if (ec) {  // most likely out of descriptors; sessions that end make room
+    if (ec) {  // most likely out of descriptors
+      make_room();
       if (acceptor_.is_open()) timers_.after(20'000, [this] { accept(); });
       return;
     }
     // Danger: the acceptor may have been closed since; what was accepted before must still be read.
-    error_code ignored;
-    socket.set_option(tcp::no_delay(true), ignored);
     const auto session = std::make_shared<Session>(*this, ++last_, std::move(socket));
     sessions_.emplace(last_, session);
     session->read();
-    if (sessions_.size() > most_clients_) evict_idle();
+    if (sessions_.size() > most_clients_) make_room();
     if (sessions_.size() <= most_clients_) accept();  // else once one has ended
   });
 }
 
-// Makes room for a new client: the connection that has stood longest between requests goes.
-void Frontend::evict_idle() {
-  std::shared_ptr<Session> oldest;
+// For a new client, of the connections without a request under way: one that never sent a byte, else the one
+// that has been quiet for longest.
+void Frontend::make_room() {
+  std::shared_ptr<Session> least;
   for (const auto& [client, s] : sessions_)
-    if (s->state() == Session::State::kBetween && client != last_ &&
-        (!oldest || s->since() < oldest->since()))
-      oldest = s;
-  if (oldest) oldest->leave();
+    if (client != last_ && s->may_go() && (!least || s->worth() < least->worth())) least = s;
+  if (least) least->close();
 }
 
 void Frontend::erase(std::uint64_t client) {
@@ -353,8 +536,28 @@
 }
 
 void Frontend::answer(std::uint64_t client, Answer answer) {
+  if (const auto s = find(client)) s->answer(answer);
+}
+
+void Frontend::begin(std::uint64_t client, std::optional<std::uint64_t> length) {
+  if (const auto s = find(client)) s->begin(length);
+}
+
+void Frontend::piece(std::uint64_t client, std::string bytes) {
+  if (const auto s = find(client)) s->piece(bytes);
+}
+
+void Frontend::finish(std::uint64_t client) {
+  if (const auto s = find(client)) s->finish();
+}
+
+void Frontend::cut(std::uint64_t client) {
+  if (const auto s = find(client)) s->cut();
+}
+
+std::shared_ptr<Frontend::Session> Frontend::find(std::uint64_t client) const {
   const auto it = sessions_.find(client);
-  if (it != sessions_.end()) std::shared_ptr<Session>(it->second)->answer(answer);
+  return it == sessions_.end() ? nullptr : it->second;
 }
 
 void Frontend::drain() {
@@ -383,11 +586,7 @@
   const Micros now = clock_.now();
   const auto sessions = sessions_;
   for (const auto& [client, s] : sessions) {
-    using State = Session::State;
-    const Micros stood = now - s->since();
-    if ((s->state() == State::kReading || s->state() == State::kWriting) && stood > kSlowClient) s->close();
-    if (s->state() == State::kClosing && stood > kLinger) s->close();
-    s->close_stranger();
+    s->close_if_slow(now);
   }
   timers_.after(kSweep, [this] { sweep(); });
 }
--- a/src/net/frontend.hpp
+++ b/src/net/frontend.hpp
@@ -7,7 +7,9 @@
 #include <optional>
 #include <string>
 #include <unordered_map>
+#include <vector>
 
+#include "body.hpp"
 #include "cottonroad/gateway.hpp"
 #include "timers.hpp"
 #include "upstream.hpp"
@@ -28,11 +30,15 @@
 
 class Frontend {
  public:
-  // Takes a request of a client and returns the number under which it will be told gone.
-  using Took = std::function<std::uint64_t(std::uint64_t client, ClientRequest)>;
-  using Gone = std::function<void(std::uint64_t request)>;
+  struct Calls {
+    // Takes a request of a client and returns the number under which the others will name it.
+    std::function<std::uint64_t(std::uint64_t client, ClientRequest)> took;
+    std::function<void(std::uint64_t request)> uploaded;  // all of its body has come
+    std::function<void(std::uint64_t request)> gone;      // its client has
+    std::function<void(std::uint64_t request)> room;      // for more of an answer that has begun
+  };
   Frontend(boost::asio::io_context& io, Timers& timers, const Clock& clock, const Settings& settings,
-           std::size_t most_clients, Took took, Gone gone);
+           std::size_t most_clients, BodyBudget& budget, Calls calls);
   ~Frontend();
 
   // On the inherited socket, where there is one.
@@ -40,6 +46,13 @@
   boost::asio::ip::tcp::endpoint address() const { return acceptor_.local_endpoint(); }
   // The one answer to the request that the client waits for; nobody is there to hear it if it has gone.
   void answer(std::uint64_t client, Answer answer);
+  // In its place, one that is passed on as it comes: its begin, pieces, each but the first when there is
+  // `room`, and its end or, if it can't be finished, a cut that the client sees. Without a length it is
+  // chunked.
+  void begin(std::uint64_t client, std::optional<std::uint64_t> length);
+  void piece(std::uint64_t client, std::string bytes);
+  void finish(std::uint64_t client);
+  void cut(std::uint64_t client);
   // Closes connections between requests; new ones are taken until stop_accepting().
   void drain();
   void stop_accepting();
@@ -49,7 +62,8 @@
  private:
   class Session;
   void accept();
-  void evict_idle();
+  void make_room();
+  std::shared_ptr<Session> find(std::uint64_t client) const;
   void erase(std::uint64_t client);
   void sweep();
 
@@ -58,8 +72,9 @@
   const Clock& clock_;
   const Settings& settings_;
   const std::size_t most_clients_;
-  Took took_;
-  Gone gone_;
+  BodyBudget& budget_;
+  const Calls calls_;
+  std::vector<char> chunk_;  // what was just read, of any connection
   boost::asio::ip::tcp::acceptor acceptor_;
   std::unordered_map<std::uint64_t, std::shared_ptr<Session>> sessions_;
   std::uint64_t last_ = 0;
--- a/src/net/upstream.cpp
+++ b/src/net/upstream.cpp
@@ -8,10 +8,10 @@
 #include <boost/asio/post.hpp>
 #include <boost/asio/write.hpp>
 #include <boost/beast/http/parser.hpp>
-#include <boost/beast/http/string_body.hpp>
 #include <cerrno>
 #include <charconv>
 #include <cmath>
+#include <cstdio>
 #include <optional>
 #include <string_view>
 
@@ -22,12 +22,12 @@
 namespace http = boost::beast::http;
 using asio::ip::tcp;
 using boost::system::error_code;
-using ResponseParser = http::response_parser<http::string_body>;
+using ResponseParser = http::response_parser<http::buffer_body>;
 
 constexpr double kIdleShare = 0.4;  // of the servers' idle limit; they may close somewhat earlier
 constexpr Micros kSweep = 500'000;
 constexpr std::uint32_t kMostHeader = 16 << 10;
-constexpr std::uint64_t kMostBody = 64 << 10;
+constexpr Micros kStall = 10'000'000;  // us in which an answer that has begun must go on
 
 // "TEXT inflight=7, queue=2, util=0.61"; what is not understood counts as not said.
 LoadReport parse_load(std::string_view text) {
@@ -70,40 +70,57 @@
 }
 
 // Never-ran only when the protocol proves it: a plain 503 or 504 may come from a server that did the work.
-Outcome outcome_of(const http::response<http::string_body>& answer) {
+Outcome outcome_of(const ResponseParser::value_type& answer) {
   if (answer.result() == http::status::ok) return Outcome::kOk;
   const bool turned_away = answer.result() == http::status::service_unavailable ||
                            answer.result() == http::status::gateway_timeout;
   return turned_away && answer["X-Never-Ran"] == "1" ? Outcome::kFull : Outcome::kError;
 }
 
+AttemptResult result_of(const ResponseParser::value_type& answer) {
+  AttemptResult result;
+  result.outcome = outcome_of(answer);
+  const auto load = answer["Endpoint-Load-Metrics"];
+  result.load = parse_load({load.data(), load.size()});
+  const auto billed = answer["Billed-Units"];
+  result.billed = parse_billed({billed.data(), billed.size()});
+  return result;
+}
+
 }  // namespace
 
 // Danger: every handler may run after its connection was closed; each asks `closed` first.
 class Upstream::Connection {
  public:
-  explicit Connection(asio::io_context& io) : socket(io) {}
+  Connection(asio::io_context& io, BodyBudget& budget) : socket(io), share(budget) {}
   enum class State { kConnecting, kWriting, kWaiting, kIdle, kClosed };
   State state = State::kConnecting;
   std::string server;
   tcp::endpoint address;
   tcp::socket socket;
   AttemptKey attempt;
-  std::string out, pending;
-  std::array<char, 4096> chunk;
+  std::string out, pending, body;
+  std::shared_ptr<Upload> upload;
   std::optional<ResponseParser> parser;
+  BodyBudget::Share share;
+  std::uint64_t passed = 0;  // bytes of the answer that went on to the client
   bool reading = false;
+  bool last = false;    // the attempt's last byte has been handed over for writing
+  bool begun = false;   // its answer goes on to the client as it comes
+  bool paused = false;  // until the client has taken what there was
+  Micros heard = 0;
   Micros idle_since = 0;
 };
 
 Upstream::Upstream(asio::io_context& io, Timers& timers, const Clock& clock, UpstreamLimits limits,
-                   Ended ended, Wrote wrote)
+                   BodyBudget& budget, Calls calls)
     : io_(io),
       timers_(timers),
       clock_(clock),
       limits_(limits),
-      ended_(std::move(ended)),
-      wrote_(std::move(wrote)) {
+      budget_(budget),
+      calls_(std::move(calls)),
+      chunk_(kReadSize) {
   sweep();
 }
 Upstream::~Upstream() = default;
@@ -143,7 +160,7 @@
   const bool fresh = !c;
   if (fresh) {
     if (!make_room()) return end_later(key, Outcome::kNotSent);
-    c = std::make_shared<Connection>(io_);
+    c = std::make_shared<Connection>(io_, budget_);
     c->server = server;
     c->address = pool->address;
     ++open_;
@@ -155,8 +172,13 @@
   if (!what.key.empty()) c->out.append("\r\nIdempotency-Key: ").append(what.key);
   c->out.append("\r\nX-Expires-In: ").append(std::to_string(std::max<Micros>(1, until - clock_.now())));
   c->out.append("u");
-  if (!what.body.empty() || what.method != "GET")
-    c->out.append("\r\nContent-Length: ").append(std::to_string(what.body.size()));
+  c->upload = what.upload;
+  const bool chunked = c->upload && !c->upload->length();
+  if (chunked)
+    c->out.append("\r\nTransfer-Encoding: chunked");
+  else if (c->upload || !what.body.empty() || what.method != "GET")
+    c->out.append("\r\nContent-Length: ")
+        .append(std::to_string(c->upload ? *c->upload->length() : what.body.size()));
   c->out.append("\r\n\r\n").append(what.body);
   attempts_.emplace(key, c);
   fresh ? connect(c) : write(c);
@@ -166,7 +188,7 @@
   const auto it = attempts_.find(key);
   if (it == attempts_.end()) return false;
   const Held c = it->second;
-  const bool written = c->state != Connection::State::kConnecting;
+  const bool written = c->state != Connection::State::kConnecting && c->last;
   attempts_.erase(it);
   // A reset, so that nothing that is still on its way is taken for a request, nor an answer waited for.
   error_code ignored;
@@ -209,6 +231,7 @@
     if (!open_pool(c->server)) return end(c, {Outcome::kNotSent, {}, {}}, false);
     error_code ignored;
     c->socket.set_option(tcp::no_delay(true), ignored);
+    c->socket.non_blocking(true, ignored);
     write(c);
   });
   timers_.after(limits_.dial_timeout, [this, weak = std::weak_ptr<Connection>(c)] {
@@ -217,29 +240,69 @@
   });
 }
 
+void Upstream::expect(Connection& c) {
+  c.parser.emplace();
+  c.parser->eager(true);
+  c.parser->header_limit(kMostHeader);
+  c.parser->body_limit(kMostBody);
+}
+
 void Upstream::write(const Held& c) {
   c->state = Connection::State::kWriting;
-  c->parser.emplace();
-  c->parser->eager(true);
-  c->parser->header_limit(kMostHeader);
-  c->parser->body_limit(kMostBody);
+  c->body.clear();
+  c->passed = 0;
+  c->begun = c->paused = false;
+  c->last = !c->upload;
+  expect(*c);
+  written(c);
+  read(c);
+}
+
+// Writes what is in `out`, and what is still to come of a large body after it.
+void Upstream::written(const Held& c) {
   asio::async_write(c->socket, asio::buffer(c->out), [this, c, key = c->attempt](error_code ec, std::size_t) {
     // Danger: an answer can come before this does, and the connection may carry the next attempt by now.
     if (c->state != Connection::State::kWriting || !(c->attempt == key)) return;
     if (ec) return end(c, {Outcome::kConnectFailed, {}, {}}, false);  // its last byte never left
+    if (!c->last) return pump(c);
     c->state = Connection::State::kWaiting;
-    wrote_();
+    c->upload.reset();
+    calls_.wrote();
   });
-  read(c);
 }
 
+void Upstream::pump(const Held& c) {
+  Upload& upload = *c->upload;
+  if (upload.size() == 0 && !upload.finished()) {
+    upload.wait([this, weak = std::weak_ptr<Connection>(c), key = c->attempt] {
+      const Held c = weak.lock();
+      if (c && c->state == Connection::State::kWriting && c->attempt == key) pump(c);
+    });
+    return;
+  }
+  c->out = upload.take();
+  c->last = upload.finished();
+  if (!upload.length()) {
+    char size[24];
+    std::snprintf(size, sizeof size, "%zx\r\n", c->out.size());
+    if (!c->out.empty()) c->out.insert(0, size).append("\r\n");
+    if (c->last) c->out += "0\r\n\r\n";
+  }
+  written(c);
+}
+
+// Nothing is read before there is something to read, so that all connections share one buffer.
 void Upstream::read(const Held& c) {
-  if (c->reading) return;
+  if (c->reading || c->paused) return;
   c->reading = true;
-  c->socket.async_read_some(asio::buffer(c->chunk), [this, c](error_code ec, std::size_t size) {
+  c->socket.async_wait(tcp::socket::wait_read, [this, c](error_code ec) {
     c->reading = false;
     if (c->state == Connection::State::kClosed) return;
     if (c->state == Connection::State::kIdle) return drop(*c);  // closed, or an answer to nothing
+    if (c->paused) return;
+    std::size_t size = 0;
+    if (!ec) size = c->socket.read_some(asio::buffer(chunk_), ec);
+    if (ec == asio::error::would_block) return read(c);
     if (ec) return broke(c);
     took(c, size);
     if (c->state != Connection::State::kClosed) read(c);
@@ -247,47 +310,81 @@
 }
 
 void Upstream::took(const Held& c, std::size_t size) {
-  c->pending.append(c->chunk.data(), size);
+  c->heard = clock_.now();
+  c->pending.append(chunk_.data(), size);
   while (!c->pending.empty() && !c->parser->is_done()) {
     error_code ec;
-    const std::size_t used = c->parser->put(asio::buffer(c->pending), ec);
+    const std::size_t used = put(*c->parser, c->pending, c->body, ec);
     c->pending.erase(0, used);
-    // Danger: the parser's own limit lets an announced length pass, and a server may go on sending for ever.
-    if (!ec && c->parser->is_header_done() &&
-        std::max<std::uint64_t>(c->parser->content_length().value_or(0), c->parser->get().body().size()) >
-            kMostBody)
-      return end(c, {Outcome::kReset, {}, {}}, false);
+    if (ec && ec != http::error::need_more)
+      return end(c, {Outcome::kReset, {}, {}}, false);  // not HTTP, or too large
+    if (c->parser->is_header_done() && !passes_on(c)) return;
     if (ec == http::error::need_more) {
       // Danger: the parser sets no bound to a chunk's extension; a server may send one that never ends.
-      if (c->pending.size() > kMostHeader) end(c, {Outcome::kReset, {}, {}}, false);
-      return;
+      if (c->pending.size() > kMostHeader) return end(c, {Outcome::kReset, {}, {}}, false);
+      break;
     }
-    if (ec) return end(c, {Outcome::kReset, {}, {}}, false);  // not HTTP, or too large
     if (c->parser->is_done() &&
         http::to_status_class(c->parser->get().result()) == http::status_class::informational) {
-      c->parser.emplace();
-      c->parser->eager(true);
-      c->parser->header_limit(kMostHeader);
-      c->parser->body_limit(kMostBody);
+      expect(*c);
     } else if (used == 0) {
-      return;
+      break;
     }
   }
+  if (c->begun && !c->body.empty()) {
+    c->passed += c->body.size();
+    c->paused = true;
+    calls_.piece(c->attempt, std::exchange(c->body, {}));
+    if (c->state == Connection::State::kClosed) return;
+  }
   if (c->parser->is_done()) answered(c);
 }
 
+// A small body is held; a good answer with a larger one goes on to the client as it comes. False: it ended
+// here.
+bool Upstream::passes_on(const Held& c) {
+  // Danger: the parser's own limit lets an announced length pass, and a server may go on sending for ever.
+  const auto length = c->parser->content_length();
+  const std::uint64_t size = std::max<std::uint64_t>(length.value_or(0), c->passed + c->body.size());
+  if (size > kMostBody) {
+    end(c, {Outcome::kReset, {}, {}}, false);
+    return false;
+  }
+  if (c->begun) return true;
+  c->share.set(c->body.size());
+  if (size <= budget_.whole() || (c->parser->is_done() && size <= kWhole)) return true;
+  AttemptResult head = result_of(c->parser->get());
+  if (head.outcome != Outcome::kOk) {
+    end(c, std::move(head), false);
+    return false;
+  }
+  c->begun = true;
+  c->share.set(0);
+  if (c->state == Connection::State::kWriting && c->last) {
+    c->state = Connection::State::kWaiting;  // it was written, the news of it comes later
+    calls_.wrote();
+  }
+  calls_.begun(c->attempt, head, length ? std::optional<std::uint64_t>(*length) : std::nullopt);
+  return c->state != Connection::State::kClosed;
+}
+
+void Upstream::more(AttemptKey key) {
+  const auto it = attempts_.find(key);
+  if (it == attempts_.end()) return;
+  const Held c = it->second;
+  c->paused = false;
+  c->heard = clock_.now();
+  read(c);
+}
+
 void Upstream::answered(const Held& c) {
-  auto& answer = c->parser->get();
-  AttemptResult result;
-  result.outcome = outcome_of(answer);
-  const auto load = answer["Endpoint-Load-Metrics"];
-  result.load = parse_load({load.data(), load.size()});
-  const auto billed = answer["Billed-Units"];
-  result.billed = parse_billed({billed.data(), billed.size()});
-  if (result.outcome == Outcome::kOk) result.body = std::move(answer.body());
-  if (c->state == Connection::State::kWriting) wrote_();  // its end was written, the news of it comes later
+  AttemptResult result = result_of(c->parser->get());
+  if (result.outcome == Outcome::kOk) result.body = std::move(c->body);
+  // Its end was written, the news of it comes later.
+  if (c->state == Connection::State::kWriting && c->last && !c->begun) calls_.wrote();
   // An answer that overtook the request leaves a connection in the middle of it.
-  const bool keep = c->state == Connection::State::kWaiting && answer.keep_alive() && c->pending.empty();
+  const bool keep =
+      c->state == Connection::State::kWaiting && c->parser->get().keep_alive() && c->pending.empty();
   end(c, std::move(result), keep);
 }
 
@@ -297,7 +394,7 @@
     c->parser->put_eof(ec);
     if (!ec && c->parser->is_done()) return answered(c);
   }
-  const bool whole = c->state == Connection::State::kWaiting;
+  const bool whole = c->state == Connection::State::kWaiting || c->begun;
   end(c, {whole ? Outcome::kReset : Outcome::kConnectFailed, {}, {}}, false);
 }
 
@@ -309,11 +406,15 @@
     c->state = Connection::State::kIdle;
     c->idle_since = clock_.now();
     c->parser.reset();
+    c->out = {};
     pool->idle.push_back(c);
   } else {
     drop(*c);
   }
-  ended_(key, std::move(result));
+  c->upload.reset();
+  c->share.set(0);
+  c->body = {};
+  calls_.ended(key, std::move(result));
 }
 
 void Upstream::drop(Connection& c) {
@@ -332,11 +433,15 @@
 }
 
 void Upstream::end_later(AttemptKey key, Outcome outcome) {
-  asio::post(io_, [this, key, outcome] { ended_(key, {outcome, {}, {}}); });
+  asio::post(io_, [this, key, outcome] { calls_.ended(key, {outcome, {}, {}}); });
 }
 
 void Upstream::sweep() {
   const Micros now = clock_.now();
+  std::vector<Held> stalled;
+  for (const auto& [key, c] : attempts_)
+    if (c->begun && !c->paused && now - c->heard > kStall) stalled.push_back(c);
+  for (const Held& c : stalled) end(c, {Outcome::kReset, {}, {}}, false);
   for (auto& [id, pool] : pools_)
     while (!pool.idle.empty() &&
            double(now - pool.idle.front()->idle_since) >= kIdleShare * double(limits_.idle))
--- a/src/net/upstream.hpp
+++ b/src/net/upstream.hpp
@@ -5,11 +5,13 @@
 #include <functional>
 #include <map>
 #include <memory>
+#include <optional>
 #include <set>
 #include <string>
 #include <unordered_map>
 #include <vector>
 
+#include "body.hpp"
 #include "cottonroad/gateway.hpp"
 #include "discovery.hpp"
 #include "timers.hpp"
@@ -19,6 +21,7 @@
 // What goes on to a server, the same for each attempt of a request.
 struct Outgoing {
   std::string method, target, host, trace_id, key, body;
+  std::shared_ptr<Upload> upload;  // in place of a body that is too large to hold
 };
 
 struct UpstreamLimits {
@@ -41,17 +44,22 @@
 struct AttemptResult {
   Outcome outcome = Outcome::kReset;
   LoadReport load;
-  std::string body;   // of a kOk
+  std::string body;   // of a kOk that was held whole
   double billed = 0;  // the request's true units; 0: not said
 };
 
 class Upstream {
  public:
-  using Ended = std::function<void(AttemptKey, AttemptResult)>;
-  // `wrote` is told of each attempt whose last byte was written, once.
-  using Wrote = std::function<void()>;
+  struct Calls {
+    std::function<void(AttemptKey, AttemptResult)> ended;
+    std::function<void()> wrote;  // the last byte of an attempt, once
+    // A good answer too large to hold has begun, with `length` unless that is unknown. Its pieces follow,
+    // each but the first after a call of `more`, and then its end.
+    std::function<void(AttemptKey, const AttemptResult&, std::optional<std::uint64_t> length)> begun;
+    std::function<void(AttemptKey, std::string bytes)> piece;
+  };
   Upstream(boost::asio::io_context& io, Timers& timers, const Clock& clock, UpstreamLimits limits,
-           Ended ended, Wrote wrote);
+           BodyBudget& budget, Calls calls);
   ~Upstream();
 
   void update(const MemberList& list);
@@ -62,6 +70,8 @@
   void send(AttemptKey key, const std::string& server, const Outgoing& what, Micros until);
   // Closes the attempt's connection. True if its last byte may have been written.
   bool abandon(AttemptKey key);
+  // The client has taken what there was of an answer that has begun.
+  void more(AttemptKey key);
 
  private:
   class Connection;
@@ -76,8 +86,12 @@
   bool make_room();
   void connect(const Held& connection);
   void write(const Held& connection);
+  void pump(const Held& connection);
+  void written(const Held& connection);
+  void expect(Connection& connection);
   void read(const Held& connection);
   void took(const Held& connection, std::size_t size);
+  bool passes_on(const Held& connection);
   void answered(const Held& connection);
   void broke(const Held& connection);
   void end(const Held& connection, AttemptResult result, bool keep);
@@ -91,8 +105,9 @@
   Timers& timers_;
   const Clock& clock_;
   const UpstreamLimits limits_;
-  Ended ended_;
-  Wrote wrote_;
+  BodyBudget& budget_;
+  const Calls calls_;
+  std::vector<char> chunk_;  // what was just read, of any connection
   std::map<std::string, Pool> pools_;
   std::set<std::string> disabled_;
   std::unordered_map<AttemptKey, Held, AttemptKeyHash> attempts_;
--- /dev/null
+++ b/tests/net/body_test.cpp
@@ -0,0 +1,186 @@
+// Bodies too large to hold, both ways, through a whole gateway; and crowds of connections that ask for
+// nothing.
+#include <gtest/gtest.h>
+
+#include "loopback.hpp"
+
+namespace cottonroad::net::testing {
+namespace {
+
+class BodyTest : public ::testing::Test {
+ protected:
+  BodyTest() { rig.know(member("s1", s1)); }
+  static std::string text(std::size_t size) {
+    std::string out(size, 'x');
+    for (std::size_t i = 0; i < size; i += 97) out[i] = char('a' + i % 26);
+    return out;
+  }
+  static std::string upload(const std::string& id, const std::string& headers) {
+    return "POST /intro-request/00000000b4d65521 HTTP/1.1\r\nHost: origin.svc\r\nX-Trace-Id: " + id +
+           "\r\nPlan: plan-group\r\nX-Expires-In: 4000m\r\nIdempotency-Key: k-" + id + "\r\n" + headers +
+           "Quota-Info: units=1,spread=3,first=0\r\n\r\n";
+  }
+  static std::string length(std::size_t size) { return "Content-Length: " + std::to_string(size) + "\r\n"; }
+  int status(Client& c) {
+    const auto answer = c.receive();
+    return answer ? int(answer->result_int()) : 0;
+  }
+  // Both ends are in this loop, so that neither may block on the other.
+  void send_all(Client& c, const std::string& bytes) {
+    auto held = std::make_shared<std::string>(bytes);
+    asio::async_write(c.socket, asio::buffer(*held), [held](error_code, std::size_t) {});
+  }
+  static void write_all(Peer& p, const std::string& bytes) {
+    auto held = std::make_shared<std::string>(bytes);
+    asio::async_write(p.socket, asio::buffer(*held),
+                      [held, self = p.shared_from_this()](error_code, std::size_t) {});
+  }
+  Rig rig;
+  FakeServer s1{rig.io};
+};
+
+TEST_F(BodyTest, ALargeAnswerPassesUnchangedWithItsLengthAndInChunks) {
+  const std::string body = text(900'000);
+  s1.on_request = [&](Peer& p, const Request_& r) {
+    if (r["X-Trace-Id"] == "chunked")
+      write_all(p, "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n" +
+                       FakeDiscovery::chunk(body.substr(0, 300'000)) +
+                       FakeDiscovery::chunk(body.substr(300'000)) + "0\r\nX-Trailer: t\r\n\r\n");
+    else
+      write_all(p, reply("200 OK", "", body));
+  };
+  rig.start();
+  Client c = rig.client();
+  for (const std::string id : {"sized", "chunked", "again"}) {
+    c.send(get(id));
+    const auto answer = c.receive();
+    ASSERT_TRUE(answer) << id;
+    EXPECT_EQ(answer->result_int(), 200u);
+    EXPECT_TRUE(answer->body() == body) << id;
+    EXPECT_EQ(answer->chunked(), id == "chunked");
+  }
+  EXPECT_EQ(s1.requests.size(), 3u);
+  EXPECT_EQ(s1.peers.size(), 1u);
+}
+
+TEST_F(BodyTest, ALargeAnswerThatBreaksIsCutAndNotTriedAgain) {
+  FakeServer s2(rig.io);
+  s1.on_request = s2.on_request = [&](Peer& p, const Request_&) {
+    p.write("HTTP/1.1 200 OK\r\nContent-Length: 900000\r\n\r\n" + text(100'000));
+    p.close();
+  };
+  rig.know(member("s2", s2));
+  rig.start();
+  Client c = rig.client();
+  c.send(get("a"));
+  EXPECT_FALSE(c.receive());
+  EXPECT_EQ(s1.requests.size() + s2.requests.size(), 1u);
+}
+
+TEST_F(BodyTest, AClientThatLeavesAnAnswerEndsItsAttempt) {
+  s1.on_request = [&](Peer& p, const Request_&) {
+    p.write("HTTP/1.1 200 OK\r\nContent-Length: 900000\r\n\r\n" + text(100'000));
+  };
+  rig.start();
+  {
+    Client c = rig.client();
+    c.send(get("a"));
+    std::array<char, 1000> some;
+    bool got = false;
+    c.socket.async_read_some(asio::buffer(some), [&](error_code ec, std::size_t) { got = !ec; });
+    ASSERT_TRUE(rig.until([&] { return got; }));
+  }
+  EXPECT_TRUE(rig.until([&] { return s1.peers.at(0)->over; }));
+}
+
+TEST_F(BodyTest, ALargeRequestPassesUnchangedWithItsLengthAndInChunksWithTrailers) {
+  const std::string body = text(900'000);
+  rig.start();
+  Client c = rig.client();
+  send_all(c, upload("sized", length(body.size())) + body);
+  EXPECT_EQ(status(c), 200);
+  send_all(c, upload("chunked", "Transfer-Encoding: chunked\r\nTrailer: X-T\r\n") +
+                  FakeDiscovery::chunk(body.substr(0, 700'000)) + FakeDiscovery::chunk(body.substr(700'000)) +
+                  "0\r\nX-T: t\r\n\r\n" + get("behind"));
+  EXPECT_EQ(status(c), 200);
+  EXPECT_EQ(status(c), 200);
+  ASSERT_EQ(s1.requests.size(), 3u);
+  EXPECT_TRUE(s1.requests[0].body() == body);
+  EXPECT_TRUE(s1.requests[1].body() == body);
+  EXPECT_EQ(s1.requests[1]["Idempotency-Key"], "k-chunked");
+  EXPECT_EQ(s1.requests[2]["X-Trace-Id"], "behind");
+}
+
+TEST_F(BodyTest, ASmallRequestInChunksIsHeldAndSentWithItsLength) {
+  rig.start();
+  Client c = rig.client();
+  c.send(upload("a", "Transfer-Encoding: chunked\r\n") + FakeDiscovery::chunk("hello") + "0\r\n\r\n");
+  EXPECT_EQ(status(c), 200);
+  EXPECT_EQ(s1.requests[0].body(), "hello");
+  EXPECT_FALSE(s1.requests[0].chunked());
+}
+
+TEST_F(BodyTest, AClientThatAsksFirstIsToldToGoOn) {
+  rig.start();
+  for (const std::size_t size : {std::size_t(5), std::size_t(200'000)}) {
+    Client c = rig.client();
+    c.send(upload("a" + std::to_string(size), "Expect: 100-continue\r\n" + length(size)));
+    EXPECT_EQ(status(c), 100) << size;
+    send_all(c, text(size));
+    EXPECT_EQ(status(c), 200) << size;
+    EXPECT_EQ(s1.requests.back().body().size(), size);
+  }
+}
+
+TEST_F(BodyTest, ALargeRequestBeyondTheQuotaIsRefusedBeforeItsBodyComes) {
+  rig.config.settings.plans[0].rate = rig.config.settings.plans[0].burst = 1;
+  rig.config.settings.gateways = 1;
+  rig.start();
+  Client c = rig.client(), other = rig.client();
+  other.send(get("a"));
+  EXPECT_EQ(status(other), 200);
+  c.send(upload("b", "Expect: 100-continue\r\n" + length(200'000)));
+  const auto answer = c.receive();
+  ASSERT_TRUE(answer);
+  EXPECT_EQ(answer->result_int(), 429u);
+  EXPECT_FALSE(answer->keep_alive());
+}
+
+TEST_F(BodyTest, ALargeRequestWhoseServerBreaksOffIsNotTriedAgain) {
+  FakeServer s2(rig.io);
+  rig.know(member("s2", s2));
+  rig.start();
+  Client c = rig.client();
+  c.send(upload("a", length(900'000)) + text(100'000));
+  ASSERT_TRUE(rig.until([&] {
+    return (s1.peers.size() == 1 && !s1.peers[0]->pending.empty()) ||
+           (s2.peers.size() == 1 && !s2.peers[0]->pending.empty());
+  }));
+  for (auto* s : {&s1, &s2})
+    for (auto& p : s->peers) p->reset();
+  const auto answer = c.receive();
+  ASSERT_TRUE(answer);
+  EXPECT_GE(answer->result_int(), 500u);
+  EXPECT_EQ(s1.peers.size() + s2.peers.size(), 1u);
+}
+
+TEST_F(BodyTest, ACrowdThatAsksForNothingKeepsNobodyOut) {
+  rig.config.sockets = 64;
+  rig.start();
+  Client slow = rig.client();
+  slow.send(get("slow").substr(0, 60));
+  std::deque<Client> crowd;
+  for (int i = 0; i < 60; ++i) {
+    crowd.emplace_back(rig.io, rig.driver->address());
+    if (i % 10 != 9) continue;
+    Client c = rig.client();
+    c.send(get("t" + std::to_string(i)));
+    EXPECT_EQ(status(c), 200) << i;
+  }
+  EXPECT_TRUE(crowd.front().ended());
+  slow.send(get("slow").substr(60));  // it has sent something, and so was kept
+  EXPECT_EQ(status(slow), 200);
+}
+
+}  // namespace
+}  // namespace cottonroad::net::testing
