--- a/include/cottonroad/gateway.hpp
+++ b/include/cottonroad/gateway.hpp
@@ -2,6 +2,7 @@
 #pragma once
 
 #include <cstdint>
+#include <map>
 #include <memory>
 #include <string>
 #include <utility>
@@ -171,8 +172,26 @@
   CountOutcome outcome = CountOutcome::kUnknown;
   Micros duration = 0;
 };
+// What the process that serves hands to the one that takes its place: figures whose order src/brain.cpp
+// knows. Those of another length come from another build, and are left.
+struct Handover {
+  using Figures = std::vector<double>;
+  std::map<std::string, std::pair<std::string, Figures>> customers;  // with the name of their plan
+  std::map<std::string, Figures> servers;
+  Figures fleet;
+};
+struct TookOver {
+  Handover from;
+};
+// Attempts of each customer that the process before this one still has out.
+struct PredecessorOpen {
+  std::map<std::string, int> open;
+};
+// The process that was to take over is gone.
+struct TookBack {};
 using Event = std::variant<ServerListUpdate, RequestArrived, StreamStarted, AttemptEnded, ClientGone,
-                           TimerFired, ProbeEnded, CounterAnswered, ServerSwitched, BodyArrived>;
+                           TimerFired, ProbeEnded, CounterAnswered, ServerSwitched, BodyArrived, TookOver,
+                           PredecessorOpen, TookBack>;
 
 // ---- Actions ------------------------------------------------------------------------------------------
 struct SendAttempt {
@@ -224,6 +243,10 @@
   };
   ServerCount count_servers(Micros now) const;
 
+  // Nothing more is admitted here, unless the successor is gone; what is held is still finished.
+  Handover hand_over(Micros now);
+  std::map<std::string, int> open_attempts() const;
+
   // Takes what happened at `now` in order and appends what is to be done at once, in order.
   void handle(Micros now, const std::vector<Event>& events, std::vector<Action>& actions);
 
--- a/src/brain.cpp
+++ b/src/brain.cpp
@@ -8,6 +8,7 @@
 #include <map>
 #include <string>
 #include <tuple>
+#include <type_traits>
 #include <unordered_map>
 #include <vector>
 
@@ -82,6 +83,20 @@
   return mix(h);
 }
 
+template <typename T>
+Handover::Figures save(T& from) {
+  Handover::Figures out;
+  from.figures([&](const auto& x) { out.push_back(double(x)); });
+  return out;
+}
+template <typename T>
+bool load(T& into, const Handover::Figures& in) {
+  if (in.size() != save(into).size()) return false;
+  auto next = in.begin();
+  into.figures([&](auto& x) { x = std::remove_reference_t<decltype(x)>(*next++); });
+  return true;
+}
+
 double fade(Micros age, Micros memory) { return std::exp(-double(age) / double(memory)); }
 
 // ---- 1. QuotaSlices -----------------------------------------------------------------------------------
@@ -110,7 +125,15 @@
   std::vector<std::string> waiting;  // requests that wait for the first total
   double ceiling = 0;                // units left of our even part of the ceiling
   Micros ceiling_at = 0;
-  int open = 0;  // attempts out
+  int open = 0;       // attempts out
+  int elsewhere = 0;  // attempts that the process before this one still has out
+
+  template <typename F>
+  void figures(F f) {
+    f(set_size), f(place), f(rate), f(last_use), f(at), f(own), f(others), f(whole), f(store), f(uncounted);
+    f(asks), f(called_at), f(read_at), f(epoch), f(seen), f(seen_at), f(added), f(ceiling), f(ceiling_at);
+    f(elsewhere);
+  }
 };
 
 class QuotaSlices {
@@ -141,6 +164,43 @@
     return c;
   }
 
+  void save(Handover& out) {
+    for (auto& [who, c] : customers_) {
+      Customer copy = c;
+      copy.elsewhere += c.open;
+      // A call on its way was most likely added.
+      for (const auto& [name, call] : pending_)
+        if (call.first == who) copy.added += call.second;
+      out.customers[who] = {c.plan->name, cottonroad::save(copy)};
+    }
+  }
+  void load(const std::string& who, const PlanSettings& plan, const Handover::Figures& figures) {
+    Customer c;
+    c.plan = &plan;
+    c.key = hash_text(who);
+    if (cottonroad::load(c, figures)) customers_[who] = c;
+  }
+  Customer* known(const std::string& who) {
+    const auto it = customers_.find(who);
+    return it == customers_.end() ? nullptr : &it->second;
+  }
+  void elsewhere(const std::map<std::string, int>& open) {
+    for (auto& [who, c] : customers_) {
+      const auto it = open.find(who);
+      c.elsewhere = it == open.end() ? 0 : it->second;
+    }
+  }
+  std::map<std::string, int> open() const {
+    std::map<std::string, int> out;
+    for (const auto& [who, c] : customers_)
+      if (c.open + c.elsewhere > 0) out[who] = c.open + c.elsewhere;
+    return out;
+  }
+  template <typename F>
+  void figures(F f) {
+    f(call_rate_), f(calls_), f(crowd_), f(calls_at_), f(could_), f(had_), f(born_), f(in_a_row_);
+  }
+
   double burst(const Customer& c) const { return c.plan->rate > 0 ? c.plan->burst : c.rate * kOpenBurst; }
   // Units a second that are ours: our own demand and an even part of the room that the total leaves, or our
   // share of the quota once the total reaches it. Danger: each of a hundred gateways would let all in of a
@@ -323,7 +383,7 @@
 bool open_cap_covers(const Customer& c) {
   const int cap = c.plan->max_open;
   if (cap <= 0) return true;
-  return c.open < std::max(1, cap / c.set_size + (c.place < cap % c.set_size ? 1 : 0));
+  return c.open + c.elsewhere < std::max(1, cap / c.set_size + (c.place < cap % c.set_size ? 1 : 0));
 }
 
 // ---- 3. Servers ---------------------------------------------------------------------------------------
@@ -346,6 +406,11 @@
   std::deque<std::pair<Micros, double>> cold_sends;  // when and how much work, in the cold window
   double carried = 0;                                // work sent since the last look
   bool open() const { return usable && !disabled; }
+  template <typename F>
+  void figures(F f) {
+    f(switched_at), f(cold_since), f(owing_since), f(ratio_sum), f(ratio_weight), f(ratio_at), f(failures);
+    f(ejected_until), f(on_trial), f(carried);
+  }
 };
 
 class Servers {
@@ -496,6 +561,26 @@
     return true;
   }
 
+  // A server's figures, and after them what it was sent while cold.
+  void save(Handover& out) {
+    for (auto& [name, s] : servers_) {
+      auto& figures = out.servers[name] = cottonroad::save(s);
+      for (const auto& [at, work] : s.cold_sends) figures.insert(figures.end(), {double(at), work});
+    }
+  }
+  void load(const std::string& name, const Handover::Figures& figures) {
+    Server& s = servers_[name];
+    const std::size_t size = cottonroad::save(s).size();
+    if (figures.size() < size || (figures.size() - size) % 2 != 0) return;
+    const auto sends = figures.begin() + std::ptrdiff_t(size);
+    cottonroad::load(s, {figures.begin(), sends});
+    for (auto it = sends; it != figures.end(); it += 2) s.cold_sends.emplace_back(Micros(*it), it[1]);
+  }
+  template <typename F>
+  void figures(F f) {
+    f(limit_), f(norm_), f(slow_norm_), f(base_), f(answers_), f(cut_at_), f(peer_rate_);
+  }
+
   // Once a period: what a warm peer of weight one was sent a second, for the cold servers' budgets.
   void look(Micros now) {
     double work = 0, weights = 0;
@@ -623,6 +708,36 @@
 
   ServerCount count_servers(Micros now) const { return servers_.count(now); }
 
+  Handover hand_over() {
+    Handover out;
+    handed_over_ = true;
+    slices_.save(out);
+    servers_.save(out);
+    out.fleet = save(*this);
+    // What waits here will still be sent on.
+    for (const std::string& id : held_) {
+      const Request& r = requests_.at(id);
+      if (r.done || !r.attempts.empty()) continue;
+      for (auto& [who, customer] : out.customers)
+        if (slices_.known(who) == r.customer) {
+          Customer c;
+          load(c, customer.second);
+          c.ceiling -= r.units;
+          customer.second = save(c);
+        }
+    }
+    return out;
+  }
+  std::map<std::string, int> open_attempts() const { return slices_.open(); }
+  template <typename F>
+  void figures(F f) {
+    slices_.figures(f);
+    servers_.figures(f);
+    for (double& mean : means_) f(mean);
+    for (double& units : units_) f(units);
+    f(retries_);
+  }
+
   void handle(Micros now, const std::vector<Event>& events, std::vector<Action>& out) {
     now_ = now;
     out_ = &out;
@@ -658,6 +773,15 @@
     servers_.update(now_, e);
     log(e.disabled ? "disabled" : "enabled", e.server + " by hand");
   }
+  void on(const TookOver& e) {
+    for (const auto& [who, customer] : e.from.customers)
+      for (const PlanSettings& p : settings_.plans)
+        if (p.name == customer.first) slices_.load(who, p, customer.second);
+    for (const auto& [name, figures] : e.from.servers) servers_.load(name, figures);
+    load(*this, e.from.fleet);
+  }
+  void on(const PredecessorOpen& e) { slices_.elsewhere(e.open); }
+  void on(const TookBack&) { handed_over_ = false; }
   void on(const StreamStarted& e) {
     auto it = requests_.find(e.id);
     if (it == requests_.end()) return;
@@ -715,7 +839,7 @@
 
   void look() {
     servers_.look(now_);
-    slices_.look(now_, *out_);
+    if (!handed_over_) slices_.look(now_, *out_);       // its use is the successor's to count
     next_look_ = std::max(next_look_ + kPeriod, now_);  // a late batch skips looks
     emit(SetTimer{next_look_, kLook});
   }
@@ -745,7 +869,7 @@
     r.give_up = e.uploading ? e.deadline : give_up(*cls, e.deadline);
     // Danger: where each of a hundred gateways meets a customer now and then, none would ever know a total
     // when it is needed. The first request waits for it, a counter's time-out at most.
-    if (slices_.call(now_, e.customer, c, *out_) &&
+    if (!handed_over_ && slices_.call(now_, e.customer, c, *out_) &&
         e.deadline - now_ > settings_.counter_timeout + 2 * settings_.tick) {
       r.waits = true;
       c.waiting.push_back(e.id);
@@ -761,6 +885,11 @@
     r.waits = false;
     Customer& c = *r.customer;
     const PlanSettings& plan = *c.plan;
+    if (handed_over_) {  // another process admits from this slice now
+      emit(Refuse{r.id, settings_.tick});
+      finish(r);
+      return forget(requests_.find(r.id));
+    }
     slices_.advance(now_, c);
     const bool within = slices_.covers(c, r.quota_units) && open_cap_covers(c);
     // A plan that earns more beyond its quota than it costs is let through while servers have room.
@@ -977,6 +1106,7 @@
   std::int64_t timer_ = 1;
   double retries_ = kRetryBurst;
   bool started_ = false;
+  bool handed_over_ = false;
 };
 
 Gateway::Gateway(Settings settings, std::uint64_t seed)
@@ -987,6 +1117,9 @@
 
 Gateway::ServerCount Gateway::count_servers(Micros now) const { return impl_->count_servers(now); }
 
+Handover Gateway::hand_over(Micros) { return impl_->hand_over(); }
+std::map<std::string, int> Gateway::open_attempts() const { return impl_->open_attempts(); }
+
 void Gateway::handle(Micros now, const std::vector<Event>& events, std::vector<Action>& actions) {
   impl_->handle(now, events, actions);
 }
--- a/src/net/driver.cpp
+++ b/src/net/driver.cpp
@@ -66,10 +66,13 @@
   told(config.known, ServerListUpdate::Kind::kPersisted);
   disabled_.start();
   discovery_.start();
-  frontend_.listen(config.listen, config.listener);
+  if (config.listener && !config.shared_directory.empty())
+    take_turns(config);
+  else
+    frontend_.listen(config.listen, config.listener);
   if (config.admin) {
     AdminCalls calls;
-    calls.ready = [this] { return !drained_; };
+    calls.ready = [this] { return !drained_ && frontend_.takes_clients(); };
     calls.metrics = [this] { return figures(); };
     calls.disable = [this](const std::string& server, bool disabled) {
       if (!upstream_.knows(server) && !disabled_.has(server)) return false;
@@ -330,6 +333,31 @@
   if (counter_ && config.counter) counter_->move(*config.counter);
 }
 
+// ---- Another process in this one's place ---------------------------------------------------------------
+void Driver::take_turns(const Config& config) {
+  Micros longest = 0;
+  for (const ClassSettings& c : settings_.classes) longest = std::max(longest, c.deadline);
+  Takeover::Calls calls;
+  calls.start = [this, listen = config.listen, socket = config.listener](const Handover* from) {
+    if (from) push(TookOver{*from});
+    frontend_.listen(listen, socket);
+  };
+  calls.hand_over = [this] {
+    frontend_.hand_over();
+    flush();  // what has happened up to here counts
+    return gateway_.hand_over(clock_.now());
+  };
+  calls.open = [this] { return gateway_.open_attempts(); };
+  calls.predecessor = [this](const std::map<std::string, int>& open) { push(PredecessorOpen{open}); };
+  calls.take_back = [this] {
+    if (drained_) return;
+    frontend_.take_back();
+    push(TookBack{});
+  };
+  takeover_.emplace(timers_, clock_, config.shared_directory, longest, std::move(calls));
+  takeover_->start();
+}
+
 // ---- The end ------------------------------------------------------------------------------------------
 void Driver::drain(std::function<void()> done) {
   if (drained_) return;
--- a/src/net/driver.hpp
+++ b/src/net/driver.hpp
@@ -98,6 +98,7 @@
   void over(Request& request, int status);
   void forget(Requests::iterator it);
   void look_drained();
+  void take_turns(const Config& config);
   std::string figures();
 
   boost::asio::io_context& io_;
@@ -120,6 +121,7 @@
   Discovery discovery_;
   Frontend frontend_;
   std::optional<Admin> admin_;
+  std::optional<Takeover> takeover_;
 };
 
 }  // namespace cottonroad::net
--- a/src/net/frontend.cpp
+++ b/src/net/frontend.cpp
@@ -503,11 +503,12 @@
 }
 
 void Frontend::accept() {
-  if (accepting_ || !acceptor_.is_open()) return;
+  if (accepting_ || !acceptor_.is_open() || (draining_ && inherited_)) return;
   accepting_ = true;
   acceptor_.async_accept([this](error_code ec, tcp::socket socket) {
     accepting_ = false;
-    if (ec) {  // most likely out of descriptors
+    if (ec == asio::error::operation_aborted) return accept();  // unless it is the successor's turn
+    if (ec) {                                                   // most likely out of descriptors
       make_room();
       if (acceptor_.is_open()) timers_.after(20'000, [this] { accept(); });
       return;
@@ -560,6 +561,19 @@
   return it == sessions_.end() ? nullptr : it->second;
 }
 
+void Frontend::hand_over() {
+  draining_ = true;
+  error_code ignored;
+  acceptor_.cancel(ignored);
+  const auto sessions = sessions_;
+  for (const auto& [client, s] : sessions) s->close_between();
+}
+
+void Frontend::take_back() {
+  draining_ = false;
+  accept();
+}
+
 void Frontend::drain() {
   draining_ = true;
   error_code ignored;
--- a/src/net/frontend.hpp
+++ b/src/net/frontend.hpp
@@ -53,6 +53,10 @@
   void piece(std::uint64_t client, std::string bytes);
   void finish(std::uint64_t client);
   void cut(std::uint64_t client);
+  // Another process takes clients from the inherited socket now, or no more.
+  void hand_over();
+  void take_back();
+  bool takes_clients() const { return acceptor_.is_open() && !draining_; }
   // Closes connections between requests; new ones are taken until stop_accepting().
   void drain();
   void stop_accepting();
--- a/src/net/handover.cpp
+++ b/src/net/handover.cpp
@@ -1,6 +1,7 @@
 #include "handover.hpp"
 
 #include <fcntl.h>
+#include <sys/file.h>
 #include <sys/socket.h>
 #include <unistd.h>
 
@@ -15,6 +16,10 @@
 namespace cottonroad::net {
 namespace {
 
+constexpr Micros kClaims = 20'000;     // us between looks for a successor, whose clients wait meanwhile
+constexpr Micros kState = 2'000;       // us between looks for what the predecessor hands over
+constexpr Micros kPatience = 300'000;  // us for it; a predecessor that does not answer is not waited for
+constexpr Micros kOpen = 50'000;       // us between its words on attempts still out
 constexpr Micros kWatch =
     50'000;  // us; with a sender's own delay well within the 250 ms of the rule on drains
 
@@ -23,6 +28,11 @@
   return {std::istreambuf_iterator<char>(file), {}};
 }
 
+std::string token_in(const std::string& path, const char* key) {
+  const auto json = nlohmann::json::parse(read_file(path), nullptr, false);
+  return json.is_object() && json.contains(key) && json[key].is_string() ? json[key].get<std::string>() : "";
+}
+
 // Whole or not at all, whoever reads meanwhile.
 bool replace_file(const std::string& path, const std::string& text) {
   const std::string fresh = path + "." + std::to_string(::getpid());
@@ -90,4 +100,112 @@
   timers_.after(kWatch, [this] { watch(); });
 }
 
+Takeover::Takeover(Timers& timers, const Clock& clock, std::string directory, Micros longest, Calls calls)
+    : timers_(timers),
+      clock_(clock),
+      directory_(std::move(directory)),
+      longest_(longest),
+      calls_(std::move(calls)),
+      token_(std::to_string(::getpid()) + "-" + std::to_string(clock.now())) {}
+
+Takeover::~Takeover() {
+  if (lock_ < 0) return;
+  ::close(lock_);
+  ::unlink((directory_ + "/alive-" + token_).c_str());
+}
+
+// A lock goes with its process, however that ends; a number of a process may come again.
+bool Takeover::alive(const std::string& token) const {
+  if (token.empty() || token.find('/') != std::string::npos) return false;
+  const std::string path = directory_ + "/alive-" + token;
+  const int file = ::open(path.c_str(), O_RDWR | O_CLOEXEC);
+  if (file < 0) return false;
+  const bool locked = ::flock(file, LOCK_EX | LOCK_NB) != 0;
+  if (!locked) ::unlink(path.c_str());  // left by one that was killed
+  ::close(file);
+  return locked;
+}
+
+void Takeover::claim() {
+  if (!replace_file(directory_ + "/owner.json", nlohmann::json{{"token", token_}}.dump()))
+    std::cerr << "handover: cannot write to " << directory_ << '\n';
+}
+
+void Takeover::start() {
+  const std::string before = token_in(directory_ + "/owner.json", "token");
+  lock_ = ::open((directory_ + "/alive-" + token_).c_str(), O_RDWR | O_CREAT | O_CLOEXEC, 0600);
+  if (lock_ >= 0) ::flock(lock_, LOCK_EX | LOCK_NB);
+  since_ = clock_.now();
+  const bool served = alive(before);
+  claim();
+  if (served) return await_state();
+  calls_.start(nullptr);
+  watch();
+}
+
+void Takeover::await_state() {
+  const std::string path = directory_ + "/state.json";
+  try {
+    const auto json = nlohmann::json::parse(read_file(path));
+    if (json.at("for") == token_) {
+      const Handover from{json.at("customers").get<decltype(Handover::customers)>(),
+                          json.at("servers").get<decltype(Handover::servers)>(),
+                          json.at("fleet").get<Handover::Figures>()};
+      ::unlink(path.c_str());
+      calls_.start(&from);
+      hear_open();
+      return watch();
+    }
+  } catch (const nlohmann::json::exception&) {  // not there yet, or none of ours
+  }
+  if (clock_.now() - since_ < kPatience) return timers_.after(kState, [this] { await_state(); });
+  std::cerr << "handover: the process before this one does not answer\n";
+  calls_.start(nullptr);
+  watch();
+}
+
+void Takeover::watch() {
+  const std::string owner = token_in(directory_ + "/owner.json", "token");
+  if (successor_.empty()) {
+    if (!owner.empty() && owner != token_ && alive(owner)) {
+      successor_ = owner;
+      const Handover state = calls_.hand_over();
+      replace_file(directory_ + "/state.json", nlohmann::json{{"for", owner},
+                                                              {"customers", state.customers},
+                                                              {"servers", state.servers},
+                                                              {"fleet", state.fleet}}
+                                                   .dump());
+      tell_open();
+    }
+  } else if (!alive(successor_)) {
+    successor_.clear();
+    claim();
+    calls_.take_back();
+  }
+  timers_.after(kClaims, [this] { watch(); });
+}
+
+void Takeover::tell_open() {
+  if (successor_.empty()) return;
+  const auto open = calls_.open();
+  replace_file(directory_ + "/open.json", nlohmann::json{{"for", successor_}, {"open", open}}.dump());
+  if (!open.empty()) timers_.after(kOpen, [this] { tell_open(); });
+}
+
+void Takeover::hear_open() {
+  std::map<std::string, int> open;
+  const bool over = clock_.now() - since_ > longest_;
+  bool told = over;
+  try {
+    const auto json = nlohmann::json::parse(read_file(directory_ + "/open.json"));
+    if (!over && json.at("for") == token_) {
+      open = json.at("open").get<std::map<std::string, int>>();
+      told = true;
+    }
+  } catch (const nlohmann::json::exception&) {  // not there yet, or torn
+  }
+  if (told) calls_.predecessor(open);
+  if (!told || !open.empty()) timers_.after(kOpen, [this] { hear_open(); });
+}
+
 }  // namespace cottonroad::net
--- a/src/net/handover.hpp
+++ b/src/net/handover.hpp
@@ -2,10 +2,13 @@
 #pragma once
 
 #include <functional>
+#include <map>
+#include <memory>
 #include <optional>
 #include <set>
 #include <string>
 
+#include "cottonroad/gateway.hpp"
 #include "timers.hpp"
 
 namespace cottonroad::net {
@@ -36,4 +39,40 @@
   std::string seen_;  // the file when last read
 };
 
+// Passes the gateway from one process to the next through files in their shared directory. Danger: any of
+// them may be missing, torn or left by a process long gone; then a process starts from nothing, as after a
+// crash.
+class Takeover {
+ public:
+  struct Calls {
+    std::function<void(const Handover*)> start;        // take clients now; none: from nothing
+    std::function<Handover()> hand_over;               // a successor is there
+    std::function<std::map<std::string, int>()> open;  // attempts out, by customer
+    std::function<void(const std::map<std::string, int>&)> predecessor;  // its attempts out
+    std::function<void()> take_back;                                     // the successor is gone
+  };
+  // Attempts of the predecessor are forgotten after `longest`.
+  Takeover(Timers& timers, const Clock& clock, std::string directory, Micros longest, Calls calls);
+  ~Takeover();
+  void start();
+
+ private:
+  bool alive(const std::string& token) const;
+  void claim();
+  void await_state();
+  void watch();
+  void tell_open();
+  void hear_open();
+
+  Timers& timers_;
+  const Clock& clock_;
+  const std::string directory_;
+  const Micros longest_;
+  const Calls calls_;
+  const std::string token_;  // this process
+  std::string successor_;    // empty: none
+  int lock_ = -1;            // held as long as this process lives
+  Micros since_ = 0;
+};
+
 }  // namespace cottonroad::net
--- a/tests/gateway_test.cpp
+++ b/tests/gateway_test.cpp
@@ -4,6 +4,7 @@
 #include <gtest/gtest.h>
 
 #include <map>
+#include <optional>
 #include <set>
 
 namespace cottonroad {
@@ -122,6 +123,7 @@
     }
     return sent;
   }
+  Gateway& gateway() { return gateway_; }
   const std::vector<Action>& log() const { return log_; }
 
  private:
@@ -454,6 +456,75 @@
   }
 }
 
+// What one gateway lets in, and the one that takes its place at the same instant.
+class HandoverTest : public ::testing::Test {
+ protected:
+  Settings settings = basic_settings();
+  std::optional<Driver> before, after;
+  void start() {
+    before.emplace(settings);
+    after.emplace(settings, Driver::up({"a", "b", "c"}), 8);
+  }
+  void hand_over(Micros now) { after->step(now, {TookOver{before->gateway().hand_over(now)}}); }
+};
+
+TEST_F(HandoverTest, WhatIsSpentOfASliceStaysSpentAndTheOldProcessAdmitsNothingMore) {
+  start();
+  EXPECT_EQ(before->burst(kMs, 6), 6);  // of the even part, ten
+  hand_over(2 * kMs);
+  EXPECT_EQ(before->burst(3 * kMs, 5), 0);
+  EXPECT_EQ(after->burst(3 * kMs, 10), 4);
+}
+
+TEST_F(HandoverTest, ACeilingHoldsOverBothWithWhatStillWaits) {
+  settings.plans[0].rate = settings.plans[0].burst = 1000;
+  settings.plans[0].ceiling_rate = 0.001;
+  settings.plans[0].ceiling_burst = 1012;  // six of what lies beyond the burst are our part
+  start();
+  EXPECT_EQ(before->burst(kMs, 4), 4);
+  hand_over(2 * kMs);
+  EXPECT_EQ(after->burst(3 * kMs, 5), 2);
+}
+
+TEST_F(HandoverTest, AttemptsOutCountForTheOpenCapUntilThePredecessorTellsOfNone) {
+  settings.plans[0].rate = settings.plans[0].burst = 1000;
+  settings.plans[0].max_open = 4;  // two of them our part
+  start();
+  EXPECT_EQ(all<SendAttempt>(before->arrive(kMs, "x")).size(), 1u);
+  hand_over(2 * kMs);
+  EXPECT_EQ(all<SendAttempt>(after->arrive(3 * kMs, "y")).size(), 1u);
+  EXPECT_EQ(all<SendAttempt>(after->arrive(3 * kMs, "z")).size(), 0u);
+  after->step(4 * kMs, {PredecessorOpen{{}}});
+  EXPECT_EQ(all<SendAttempt>(after->arrive(5 * kMs, "w")).size(), 1u);
+}
+
+TEST_F(HandoverTest, AColdServersBudgetIsNotSpentTwice) {
+  settings.cold_share = 0.2;
+  settings.cold_time = 20 * kS;
+  settings.cold_multiple = 3;
+  settings.cold_window = 2 * kS;
+  auto cold = Driver::up({"a"});
+  cold[0].started_at = kMs;
+  before.emplace(settings, cold);
+  after.emplace(settings, cold, 8);
+  EXPECT_EQ(before->burst(2 * kMs, 3), 1);
+  hand_over(3 * kMs);
+  EXPECT_EQ(after->burst(4 * kMs, 3), 0);
+}
+
+TEST_F(HandoverTest, FiguresOfAnotherBuildAreLeftAndAGatewayTakesItsPlaceBack) {
+  start();
+  before->burst(kMs, 6);
+  Handover state = before->gateway().hand_over(2 * kMs);
+  state.customers["c1"].second.pop_back();
+  state.servers["a"].pop_back();
+  state.fleet.clear();
+  after->step(2 * kMs, {TookOver{state}});
+  EXPECT_EQ(after->burst(3 * kMs, 12), 10);
+  before->step(4 * kMs, {TookBack{}});
+  EXPECT_EQ(before->burst(5 * kMs, 10), 4);
+}
+
 TEST(Rules, NothingGoesToADrainingOrRemovedServer) {
   Driver d;
   ServerListUpdate u;
--- a/tests/net/process_test.cpp
+++ b/tests/net/process_test.cpp
@@ -60,6 +60,11 @@
     return log;
   }
   void terminate() { ::kill(pid_, SIGTERM); }
+  void kill() {
+    ::kill(pid_, SIGKILL);
+    ::waitpid(pid_, nullptr, 0);
+    pid_ = 0;
+  }
   void reconfigure(const std::string& config) {
     std::ofstream(path_, std::ios::trunc) << config;
     ::kill(pid_, SIGHUP);
@@ -180,5 +185,65 @@
   }
 }
 
+TEST(Process, OneProcessHandsTheGatewayToTheNextAndTakesItBackShouldThatDie) {
+  asio::io_context io;
+  FakeServer server(io);
+  FakeDiscovery discovery(io);
+  std::shared_ptr<Peer> held;
+  server.on_request = [&](Peer& p, const Request_& r) {
+    if (r["X-Trace-Id"] == "held") {
+      held = p.shared_from_this();
+    } else {
+      p.write(reply("200 OK", "", "x"));
+    }
+  };
+  char shared[] = "/tmp/kelpford-test-XXXXXX";
+  ASSERT_NE(::mkdtemp(shared), nullptr);
+  tcp::acceptor platform(io, {asio::ip::address_v4::loopback(), 0});
+  const auto port = platform.local_endpoint().port();
+  const auto admin_of = [&](std::uint16_t admin) {
+    return config(port, server, discovery, R"("admin_addr":"127.0.0.1:)" + std::to_string(admin) + "\",");
+  };
+  const auto ready = [&](std::uint16_t admin) {
+    Client staff(io, {asio::ip::address_v4::loopback(), admin});
+    staff.send("GET /-/ready HTTP/1.1\r\nHost: n0\r\n\r\n");
+    const auto answer = staff.receive();
+    return answer ? int(answer->result_int()) : 0;
+  };
+  const auto admin1 = free_port(io), admin2 = free_port(io);
+  Process before(admin_of(admin1), platform.native_handle(), shared);
+  ASSERT_NE(before.log_until("ready").find("ready"), std::string::npos);
+  Client waiting(io, platform.local_endpoint()), idle(io, platform.local_endpoint());
+  idle.send(get("a"));
+  ASSERT_TRUE(idle.receive());
+  waiting.send(get("held"));
+  ASSERT_TRUE(until(io, [&] { return held != nullptr; }));
+  Process after(admin_of(admin2), platform.native_handle(), shared);
+  ASSERT_NE(after.log_until("ready").find("ready"), std::string::npos);
+  ASSERT_TRUE(until(io, [&] { return ready(admin2) == 200; }));
+  EXPECT_EQ(ready(admin1), 503);
+  EXPECT_TRUE(idle.ended());
+  Client c(io, platform.local_endpoint());
+  c.send(get("b"));
+  const auto next = c.receive();
+  ASSERT_TRUE(next);
+  EXPECT_TRUE(next->keep_alive());  // the new one's
+  held->write(reply("200 OK", "", "held"));
+  const auto last = waiting.receive();
+  ASSERT_TRUE(last);
+  EXPECT_EQ(last->body(), "held");
+  EXPECT_FALSE(last->keep_alive());
+  after.kill();
+  ASSERT_TRUE(until(io, [&] { return ready(admin1) == 200; }));
+  Client again(io, platform.local_endpoint());
+  again.send(get("c"));
+  EXPECT_TRUE(again.receive());
+  before.terminate();
+  EXPECT_EQ(before.exit_code(), 0);
+  for (const char* file : {"owner.json", "open.json", "state.json"})
+    ::unlink((std::string(shared) + "/" + file).c_str());
+  EXPECT_EQ(::rmdir(shared), 0);  // nothing else is left
+}
+
 }  // namespace
 }  // namespace cottonroad::net::testing
