--- a/src/brain.cpp
+++ b/src/brain.cpp
@@ -839,6 +839,7 @@
 
   void look() {
     servers_.look(now_);
+    log_refused();
     if (!handed_over_) slices_.look(now_, *out_);       // its use is the successor's to count
     next_look_ = std::max(next_look_ + kPeriod, now_);  // a late batch skips looks
     emit(SetTimer{next_look_, kLook});
@@ -891,10 +892,12 @@
       return forget(requests_.find(r.id));
     }
     slices_.advance(now_, c);
-    const bool within = slices_.covers(c, r.quota_units) && open_cap_covers(c);
+    const bool sliced = slices_.covers(c, r.quota_units), capped = !open_cap_covers(c);
+    const bool within = sliced && !capped, under = ceiling_covers(now_, c, r.units);
     // A plan that earns more beyond its quota than it costs is let through while servers have room.
     const bool excess = plan.over_worth > plan.over_cost && servers_.pressure(now_) < kRelaxed;
-    if (!ceiling_covers(now_, c, r.units) || (!within && !excess)) {
+    if (!under || (!within && !excess)) {
+      ++refused_[!under ? "ceiling" : capped ? "open cap" : "slice"];
       emit(Refuse{r.id, slices_.retry_after(c, r.quota_units, r.cls->aim)});
       finish(r);
       return forget(requests_.find(r.id));
@@ -910,6 +913,16 @@
   Micros give_up(const ClassSettings& cls, Micros deadline) const {
     return cls.late_worth > 0 ? deadline : std::min(deadline, now_ + cls.aim);
   }
+  // Why requests were given up; a share refused does not tell.
+  void log_refused() {
+    if (refused_.empty() || now_ - refused_at_ < kLogEvery) return;
+    std::string text = "given up by";
+    for (const auto& [why, n] : refused_) text.append(" ").append(why).append(" ").append(std::to_string(n));
+    emit(LogLine{text});
+    refused_.clear();
+    refused_at_ = now_;
+  }
+
   double mean_of(const ClassSettings& cls) const {
     return means_[index(cls)] > 0 ? means_[index(cls)] : double(cls.aim) / 6;
   }
@@ -1033,6 +1046,7 @@
   // The one final answer of a request that no server will answer.
   void end(Request& r) {
     if (r.done) return;
+    ++refused_[r.attempts.empty() ? "servers full" : "attempts"];
     if (may_refuse(r))
       emit(Refuse{r.id, Micros(mean_of(*r.cls))});
     else
@@ -1100,6 +1114,8 @@
   std::unordered_map<std::string, Request> requests_;  // looked up by id, never walked
   std::unordered_map<std::int64_t, std::pair<std::string, int>> timers_;
   std::map<std::string, Micros> logged_;
+  std::map<std::string, int> refused_;  // by reason, since the last line on them
+  Micros refused_at_ = 0;
   std::vector<std::string> held_;
   Micros now_ = 0, next_look_ = 0;
   std::vector<Action>* out_ = nullptr;
