Let a client that has connected before a drain's end still send its request

A drain closed, after a second, connections that had sent nothing yet, though a client may take two seconds for a head. What comes during a drain is answered before SIGKILL.

--- a/src/net/driver.cpp
+++ b/src/net/driver.cpp
@@ -17,6 +17,8 @@
 constexpr Micros kBackstop = 10'000;     // us past our deadline, before the client's: the module said nothing
 constexpr Micros kHandOver = 1'000'000;  // us; clients go on connecting for up to 0.4 s after SIGTERM
 constexpr Micros kLookDrained = 20'000;
+// SIGKILL follows SIGTERM after the longest deadline, counted as so much at the most, and so much more.
+constexpr Micros kLongestToKill = 3'000'000, kKillAfter = 700'000;
 constexpr Micros kUploadMost = 3600'000'000;  // us; slow clients are the front's to cut off
 constexpr std::size_t kOther =
     24;  // descriptors beside clients' and servers': second address, counter, discovery
@@ -106,6 +108,8 @@
 
 void Driver::start_clock(std::uint64_t id, Request& r) {
   r.deadline = clock_.now() + r.patience - std::min(kEarly, Micros(kEarlyShare * double(r.patience)));
+  // What comes while we drain must have its answer before the platform kills what is left.
+  if (drained_) r.deadline = std::min(r.deadline, killed_at_ - 2 * kBackstop);
   timers_.at(r.deadline + kBackstop, [this, id] { overdue(id); });
 }
 
@@ -365,6 +369,7 @@
   Micros longest = 0;
   for (const ClassSettings& c : settings_.classes) longest = std::max(longest, c.deadline);
   drain_until_ = clock_.now() + kHandOver + longest;
+  killed_at_ = clock_.now() + std::min(longest, kLongestToKill) + kKillAfter;
   frontend_.drain();
   timers_.after(kHandOver, [this] {
     frontend_.stop_accepting();
--- a/src/net/driver.hpp
+++ b/src/net/driver.hpp
@@ -111,7 +111,7 @@
   std::vector<Event> events_;
   bool flushing_ = false;
   std::function<void()> drained_;
-  Micros drain_until_ = 0;
+  Micros drain_until_ = 0, killed_at_ = 0;
   Metrics metrics_;
   std::size_t in_progress_ = 0;  // requests without a final answer whose client is there
   BodyBudget budget_;
--- a/src/net/frontend.cpp
+++ b/src/net/frontend.cpp
@@ -231,6 +231,7 @@
     front_.erase(client_);
   }
   State state() const { return state_; }
+  bool served() const { return served_; }
 
  private:
   enum class Framing { kLength, kChunked, kClose };
@@ -586,13 +587,13 @@
   error_code ignored;
   acceptor_.close(ignored);
   const auto sessions = sessions_;
-  for (const auto& [client, s] : sessions) s->leave();
+  for (const auto& [client, s] : sessions) s->close_between();
 }
 
 bool Frontend::quiet() const {
-  return std::none_of(sessions_.begin(), sessions_.end(), [](const auto& entry) {
+  return std::all_of(sessions_.begin(), sessions_.end(), [](const auto& entry) {
     const auto state = entry.second->state();
-    return state != Session::State::kBetween && state != Session::State::kClosing;
+    return state == Session::State::kBetween ? entry.second->served() : state == Session::State::kClosing;
   });
 }
 
--- a/src/net/frontend.hpp
+++ b/src/net/frontend.hpp
@@ -60,7 +60,7 @@
   // Closes connections between requests; new ones are taken until stop_accepting().
   void drain();
   void stop_accepting();
-  // Nothing is being read, held or written.
+  // Nothing is being read, held or written, and no client that has connected is still to send its request.
   bool quiet() const;
 
  private:
--- a/tests/net/driver_test.cpp
+++ b/tests/net/driver_test.cpp
@@ -290,6 +290,22 @@
   EXPECT_TRUE(rig.until([&] { return done; }));
 }
 
+TEST_F(DriverTest, AClientThatConnectedBeforeTheEndMayStillSendItsRequestSlowly) {
+  rig.know(member("s1", s1));
+  Driver& driver = rig.start();
+  Client slow = rig.client();
+  bool done = false, later = false;
+  ASSERT_TRUE(rig.until([&] { return s1.peers.empty(); }));
+  driver.drain([&] { done = true; });
+  asio::steady_timer timer(rig.io, std::chrono::milliseconds(1200));  // new ones have been let in for 1 s
+  timer.async_wait([&](error_code) { later = true; });
+  ASSERT_TRUE(rig.until([&] { return later; }));
+  EXPECT_FALSE(done);
+  slow.send(get("a"));
+  EXPECT_EQ(status(slow), 200);
+  EXPECT_TRUE(rig.until([&] { return done; }));
+}
+
 TEST_F(DriverTest, DrainClosesConnectionsBetweenRequests) {
   rig.know(member("s1", s1));
   Driver& driver = rig.start();
