--- a/src/brain.cpp
+++ b/src/brain.cpp
@@ -39,10 +39,13 @@
 constexpr double kCrowdGain = 0.1;     // an answer; smoothing of that part
 constexpr double kLateWeight = 5;      // refused calls that a late one counts for: all meet that line
 constexpr double kPaceGain = 0.2;      // of the pace, a second, up while calls are answered
-constexpr int kDownAfter = 6;        // failed calls in a row: down; nobody waits, and its pace is found anew
-constexpr int kDraws = 2;            // servers compared for an attempt, and our part of them
-constexpr double kZoneBias = 1.08;   // a server elsewhere must look so much better to be worth crossing
-constexpr double kPriorSamples = 8;  // answers' worth of "as good as its peers" behind each estimate
+constexpr int kDownAfter = 6;  // failed calls in a row: down; nobody waits, and its pace is found anew
+constexpr int kDraws = 2;      // servers compared for an attempt, and our part of them
+constexpr Micros kLinked = 5'000'000;  // us for which a connection to a server is taken to stay open
+constexpr double kLinkBias = 1.5;      // a server without one must look so much better
+constexpr int kUnseenDraws = 4;        // more compared where no reports lead many gateways to the same server
+constexpr double kZoneBias = 1.08;     // a server elsewhere must look so much better to be worth crossing
+constexpr double kPriorSamples = 8;    // answers' worth of "as good as its peers" behind each estimate
 constexpr Micros kLatencyMemory = 4'000'000;  // us; health evidence fades so, which readmits by trickle
 constexpr Micros kReportMemory = 1'000'000;   // us; a load report says little after this
 constexpr double kAgeDoubt = 3;  // an attempt older than this many mean answers speaks against its server
@@ -414,6 +417,8 @@
   Micros ratio_at = 0;
   double others = 0;  // attempts of other gateways there, as last reported
   Micros report_at = 0;
+  int links = 0;  // connections that our answered attempts left open there
+  Micros link_at = 0;
   int failures = 0;  // in a row
   Micros ejected_until = 0;
   bool on_trial = false;                             // ejected and not yet answered since
@@ -511,6 +516,7 @@
     // Danger: gateways that see little of what servers hold all pick the one that looks best, and the slower
     // ones lie idle. A few are drawn by speed, the fewer the less of the load is our own; the best of those.
     std::vector<std::tuple<double, double, Server*>> draws;  // key, cost
+    const bool many = settings_.gateways >= kMany;
     for (auto& [name, s] : servers_) {
       if (!s.open() || !allowed(s)) continue;
       if ((s.ejected_until > now && !last_resort) || (s.on_trial && s.out > 0)) continue;
@@ -520,11 +526,16 @@
       const double others = s.others * fade(now - s.report_at, kReportMemory);
       double cost = (s.out + others + 1) / speed;
       if (s.entry.zone != settings_.zone) cost *= kZoneBias;
+      // Danger: each of many gateways has little to send, and on new connections everywhere it pays a
+      // handshake a request.
+      const bool linked = s.links > 0 && now - s.link_at <= kLinked;
+      if (many && !linked) cost *= kLinkBias;
 
       const double last = s.ejected_until > now ? kLastResort : 1;
       draws.emplace_back(-std::log(1 - uniform()) / speed * last, cost * last, &s);
     }
-    const std::size_t few = std::min(draws.size(), std::size_t(kDraws + listed / settings_.gateways));
+    const std::size_t few = std::min(draws.size(), std::size_t(kDraws + listed / settings_.gateways +
+                                                               (many && !reported_ ? kUnseenDraws : 0)));
     std::partial_sort(draws.begin(), draws.begin() + std::ptrdiff_t(few), draws.end());
     const auto best =
         std::min_element(draws.begin(), draws.begin() + std::ptrdiff_t(few),
@@ -535,6 +546,7 @@
   void sent(Micros now, Server& s, double work) {
     settle(now);
     if (++s.out == 1) s.owing_since = now;
+    s.links = now - s.link_at > kLinked ? 0 : std::max(0, s.links - 1);
     ++out_;
     s.carried += work;
     if (warmth(now, s) < 1) s.cold_sends.emplace_back(now, work);
@@ -547,6 +559,10 @@
     settle(now);
     --s.out;
     --out_;
+    if (o == Outcome::kOk) {
+      ++s.links;
+      s.link_at = now;
+    }
     // Danger: a server that fails all it gets answers fastest; taken for quick, it would draw the whole load.
     const bool answered = o == Outcome::kOk, error = o == Outcome::kError;
     if (error) ratio = kErrorRatio;
@@ -559,6 +575,7 @@
     if (load.in_flight >= 0 || load.queued >= 0) {
       s.others = load.in_flight >= 0 ? std::max(0.0, load.in_flight - s.out - 1) : load.queued;
       s.report_at = now;
+      reported_ = true;
     }
     if (answered || error) s.owing_since = now;
     if (answered) {
@@ -629,6 +646,7 @@
     s.ejected_until = 0;
     s.on_trial = false;
     s.ratio_sum = s.ratio_weight = 0;
+    s.links = 0;
   }
   double uniform() { return double((random_ = mix(random_)) >> 11) * 0x1p-53; }
 
@@ -675,7 +693,8 @@
   Micros cut_at_ = 0;
   double peer_rate_ = 0;
   int out_ = 0, listed_ = 0;
-  double room_ = 1;  // attempt-seconds
+  bool reported_ = false;  // servers tell what they hold
+  double room_ = 1;        // attempt-seconds
   Micros room_at_ = 0;
 };
 
--- a/tests/gateway_test.cpp
+++ b/tests/gateway_test.cpp
@@ -323,8 +323,8 @@
 }
 
 TEST(QuotaSlices, ASliceSmallerThanARequestIsLetInByLot) {
-  // One request a second, of a customer that asks twice its quota through forty gateways. A store of a fortieth
-  // never holds one.
+  // One request a second, of a customer that asks twice its quota through forty gateways. A store of a
+  // fortieth never holds one.
   const double share = play(20, 40, CountOutcome::kOk, 0, false, 1).share;
   EXPECT_GT(share, 0.2);
   EXPECT_LT(share, 0.8);
@@ -799,6 +799,23 @@
   EXPECT_LT(picked["a"], 45);
 }
 
+TEST(Servers, OneOfManyGatewaysStaysWithServersThatItIsConnectedTo) {
+  Settings s = basic_settings();
+  s.gateways = 40;
+  std::vector<std::string> names;
+  for (int i = 0; i < 24; ++i) names.push_back(label("s", i));
+  Driver d(s, Driver::up(names));
+  std::set<std::string> used;
+  for (int i = 0; i < 60; ++i) {
+    const Micros now = i * 200 * kMs;
+    for (const SendAttempt& a : all<SendAttempt>(d.arrive(now, label("r", i)))) {
+      used.insert(a.server);
+      d.end(now + 20 * kMs, a, Outcome::kOk, 0, 20 * kMs);
+    }
+  }
+  EXPECT_LE(used.size(), 16u);  // of 24; a fresh draw each time reaches them all
+}
+
 TEST(Servers, OnesOwnPauseIsNotReadAsSlowServers) {
   Settings s = basic_settings();
   s.plans[0].rate = s.plans[0].burst = 1e6;
