--- a/src/brain.cpp
+++ b/src/brain.cpp
@@ -26,7 +26,6 @@
 constexpr double kIdleGuess = 0.5;  // of the quota: a customer that asked no more has its whole burst left
 constexpr int kMany = 8;            // gateways of a customer's set, from which on its slices are small
 constexpr double kFew = 2;          // large requests that a slice's part of the burst holds, or it is small
-constexpr double kCalm = 0.5;       // of the quota: all ask no more than that, by the last total
 constexpr double kKnownWeight = 0.25;  // of a request of a known customer, for the need of a call
 constexpr double kFresh = 0.25;        // of whole quotas: names hold less while a counter is new
 constexpr double kFreshKeep = 0.95;    // of that evidence, a total
@@ -217,13 +216,7 @@
     return total < c.rate ? c.own + (c.rate - total) / c.set_size : c.rate * c.own / std::max(total, 1e-9);
   }
   // Danger: a whole burst kept at each gateway is let in once by each of them before any total tells.
-  // Danger: a part of a burst that is less than one request refuses whoever comes twice in a few seconds,
-  // though most of the quota is unused. While the total says so, one large request fits.
-  double depth(const Customer& c) const {
-    const double part = burst(c) * slice(c) / std::max(c.rate, 1e-9);
-    const bool calm = c.read_at > 0 && c.own + c.others < kCalm * c.rate;
-    return calm && c.plan->rate > 0 ? std::max(part, std::min(burst(c), settings_.largest_units)) : part;
-  }
+  double depth(const Customer& c) const { return burst(c) * slice(c) / std::max(c.rate, 1e-9); }
   // Danger: a quota of a few units a second sees nought or a whole burst in one second; demand is smoothed
   // over as long as the burst lasts, or customers inside their quota would be refused.
   double memory(const Customer& c) const {
