--- a/src/net/frontend.cpp
+++ b/src/net/frontend.cpp
@@ -31,6 +31,9 @@
     2'400'000;  // us for a first head, which may take 2 s; with kSweep, under the terms' 3 s
 constexpr double kBodyRate = 60e3;     // bytes a second that a client sends at the least; it owes 64 kB
 constexpr Micros kLinger = 1'000'000;  // us for a client to read an answer before the close
+constexpr std::size_t kStrangerDiscards = 256
+                                          << 10;  // bytes; reading all that strangers send costs others time
+constexpr int kMakeRoomTries = 4;                 // a look at what is unread is a call into the kernel
 constexpr Micros kSweep = 200'000;
 constexpr Micros kLongestPatience = 3600'000'000;
 
@@ -130,6 +133,7 @@
   // Nothing is read before there is something to read, so that a connection without a request costs little.
   void read() {
     if (reading_ || state_ == State::kClosed || pending_.size() > kMostAhead || upload_full()) return;
+    if (discards_ && !served_ && discarded_ > kStrangerDiscards) return;
     reading_ = true;
     socket_.async_wait(tcp::socket::wait_read, [this, self = shared_from_this()](error_code ec) {
       reading_ = false;
@@ -139,7 +143,10 @@
       if (ec == asio::error::would_block) return read();
       if (ec) return close();
       touched_ = front_.clock_.now();
-      if (!discards_ && state_ != State::kClosing) pending_.append(front_.chunk_.data(), size);
+      if (discards_ || state_ == State::kClosing)
+        discarded_ += size;
+      else
+        pending_.append(front_.chunk_.data(), size);
       parse();
       read();
     });
@@ -200,9 +207,10 @@
     if (served_) leave();
   }
   // What has no request under way may go for one that has; what never sent a byte goes first.
-  bool may_go() const {
+  bool may_go() const { return state_ == State::kBetween || state_ == State::kReading; }
+  bool unread() const {
     error_code ec;
-    return (state_ == State::kBetween || state_ == State::kReading) && socket_.available(ec) == 0;
+    return socket_.available(ec) > 0;
   }
   std::pair<bool, Micros> worth() const { return {served_ || state_ == State::kReading, touched_}; }
 
@@ -211,8 +219,9 @@
     const auto body = Micros(double(received_) / kBodyRate * 1e6);
     const bool receiving = state_ == State::kReading || (state_ == State::kHeld && upload_ && !upload_full());
     if (state_ == State::kWriting && now - progress_ > kSlowClient) return cut();
-    if (state_ == State::kClosing && (now - touched_ > kLinger || stood > kSlowClient) && stood > kLinger)
-      return close();
+    // One that writes a large body to its end before it reads our answer has the time for it.
+    const bool sends = discards_ && served_ && now - touched_ <= kLinger && stood <= kSlowClient;
+    if (state_ == State::kClosing && stood > kLinger && !sends) return close();
     error_code ec;
     // Danger: a gateway that stood still finds requests unread that came in time; what is there is read
     // first.
@@ -249,6 +258,7 @@
   // which may write it to its end first, finds the answer.
   void drop_upload() {
     if (!upload_) return;
+    served_ = true;  // a request of ours, though it had not come whole
     upload_->wanted = upload_->room = nullptr;
     upload_.reset();
     parser_.reset();
@@ -462,7 +472,8 @@
   Micros awaited_since_ = front_.clock_.now();  // a request, from a peer that is none of ours yet
   Micros since_ = awaited_since_, touched_ = awaited_since_;  // in this state; last heard of
   Micros progress_ = awaited_since_;                          // of the answer
-  Micros held_up_ = 0, upload_was_full_ = 0;                  // us, instant: by us, not by the client
+  std::size_t discarded_ = 0;
+  Micros held_up_ = 0, upload_was_full_ = 0;  // us, instant: by us, not by the client
   std::uint64_t request_ = 0, received_ = 0;
   std::string pending_, body_, out_, next_;
   std::optional<RequestParser> parser_;
@@ -526,10 +537,16 @@
 // For a new client, of the connections without a request under way: one that never sent a byte, else the one
 // that has been quiet for longest.
 void Frontend::make_room() {
-  std::shared_ptr<Session> least;
-  for (const auto& [client, s] : sessions_)
-    if (client != last_ && s->may_go() && (!least || s->worth() < least->worth())) least = s;
-  if (least) least->close();
+  std::pair<bool, Micros> passed{false, 0};  // of those that have something unread, as few are
+  for (int tries = 0; tries < kMakeRoomTries; ++tries) {
+    std::shared_ptr<Session> least;
+    for (const auto& [client, s] : sessions_)
+      if (client != last_ && s->may_go() && s->worth() > passed && (!least || s->worth() < least->worth()))
+        least = s;
+    if (!least) return;
+    if (!least->unread()) return least->close();
+    passed = least->worth();
+  }
 }
 
 void Frontend::erase(std::uint64_t client) {
--- a/tests/net/body_test.cpp
+++ b/tests/net/body_test.cpp
@@ -164,6 +164,16 @@
   EXPECT_EQ(s1.peers.size() + s2.peers.size(), 1u);
 }
 
+TEST_F(BodyTest, WhatAStrangerGoesOnSendingIsNotReadForEver) {
+  rig.start();
+  Client c = rig.client();
+  std::optional<error_code> sent;
+  const std::string all = "POST /nowhere HTTP/1.1\r\nContent-Length: 60000000\r\n\r\n" + text(40'000'000);
+  asio::async_write(c.socket, asio::buffer(all), [&](error_code ec, std::size_t) { sent = ec; });
+  ASSERT_TRUE(rig.until([&] { return sent.has_value(); }));
+  EXPECT_TRUE(*sent);  // the end of the connection, and not of what it had to say
+}
+
 TEST_F(BodyTest, ACrowdThatAsksForNothingKeepsNobodyOut) {
   rig.config.sockets = 64;
   rig.start();
