Let the first draw, by speed, decide between cold and warm servers where gateways are many

In a trace of each attempt the 50 servers listed at 10.8 s got 3 attempts a second between them until 14 s, 0.02 a second each at 12 s, while the 67 kept ones got 38 a second each (14 before) and ran into 2,031 time-outs in two seconds. Of the tries in those two seconds 18,900 were refused unsent. The new servers' answers took 101 to 142 ms, as the warm ones' had.

At fault: Servers::choose, the comparison by cost. A cold server's cost is divided by its warmth and, since nobody has a connection to it, multiplied by kLinkBias; with next to nothing out at any server every draw but the cold one is cheaper. It had been drawn by speed already. In one gateway that sends much the attempts out even it out; in one of 300 they never do.

Ruled out: the cold budget (cold_covers lets the first send of each gateway through; 279 first sends a server never came), news of the list (45 ready at 10.66 s, told by 10.8 s at all gateways), ejection (159 lines in the whole fleet).

Now the first draw decides whether the attempt goes to a cold or a warm server, and the rest are compared within.

--- a/src/brain.cpp
+++ b/src/brain.cpp
@@ -529,11 +529,18 @@
     }
     const std::size_t few = std::min(draws.size(), std::size_t(kDraws + listed / settings_.gateways +
                                                                (many && !reported_ ? kUnseenDraws : 0)));
+    if (few == 0) return nullptr;
     std::partial_sort(draws.begin(), draws.begin() + std::ptrdiff_t(few), draws.end());
-    const auto best =
-        std::min_element(draws.begin(), draws.begin() + std::ptrdiff_t(few),
-                         [](const auto& a, const auto& b) { return std::get<1>(a) < std::get<1>(b); });
-    return few > 0 ? std::get<2>(*best) : nullptr;
+    // Danger: a cold server looks slow beside any warm one, and next to nobody has a connection to it. Where
+    // each gateway sends little, a comparison leaves it idle; the first draw, by speed, decides between them.
+    const bool cold = warmth(now, *std::get<2>(draws.front())) < 1;
+    const auto end = std::stable_partition(
+        draws.begin(), draws.begin() + std::ptrdiff_t(few),
+        [&](const auto& d) { return !many || (warmth(now, *std::get<2>(d)) < 1) == cold; });
+    const auto best = std::min_element(draws.begin(), end, [](const auto& a, const auto& b) {
+      return std::get<1>(a) < std::get<1>(b);
+    });
+    return std::get<2>(*best);
   }
 
   void sent(Micros now, Server& s, double work) {
--- a/tests/gateway_test.cpp
+++ b/tests/gateway_test.cpp
@@ -816,6 +816,61 @@
   EXPECT_LE(used.size(), 16u);  // of 24; a fresh draw each time reaches them all
 }
 
+// What a fleet of gateways, each with little to send, sends to 12 cold servers over what would be their part by
+// the capacity that they have at the least, beside 8 warm ones. Each answer takes 100 ms.
+double cold_part(int gateways, Micros between) {
+  Settings s = basic_settings();
+  s.gateways = gateways;
+  s.plans[0].rate = s.plans[0].burst = 1e6;
+  s.cold_share = 0.21;
+  s.cold_time = 18 * kS;
+  s.cold_multiple = 3;
+  s.cold_window = 2 * kS;
+  constexpr Micros kJoin = 5 * kS, kEnd = 11 * kS;
+  std::vector<ServerEntry> fresh;
+  for (int i = 0; i < 12; ++i) {
+    fresh.push_back({});
+    fresh.back().server = label("new", i);
+    fresh.back().started_at = kJoin;
+  }
+  std::vector<std::string> old;
+  for (int i = 0; i < 8; ++i) old.push_back(label("old", i));
+  double to_cold = 0, all_sent = 0, fair = 0;
+  for (int g = 0; g < gateways; ++g) {
+    s.position = g;
+    Driver d(s, Driver::up(old), std::uint64_t(g + 1));
+    bool joined = false;
+    for (Micros now = kS + g * between / gateways; now < kEnd; now += between) {
+      if (now >= kJoin && !std::exchange(joined, true)) {
+        ServerListUpdate list;
+        list.kind = ServerListUpdate::Kind::kPartial;
+        list.entries = fresh;
+        d.step(now, {list});
+      }
+      auto sent = d.run(now);
+      auto more = d.arrive(now, label("r", now));
+      sent.insert(sent.end(), more.begin(), more.end());
+      for (const SendAttempt& a : all<SendAttempt>(sent)) {
+        const double warmth = 0.21 + 0.79 * double(now - kJoin) / double(s.cold_time);
+        if (joined) {
+          ++all_sent;
+          to_cold += a.server[0] == 'n';
+          fair += 12 * warmth / (12 * warmth + 8);
+        }
+        d.end(now + 100 * kMs, a, Outcome::kOk, 0, 100 * kMs);
+      }
+    }
+  }
+  EXPECT_GT(all_sent, 0.9 * gateways * double(kEnd - kJoin) / double(between));
+  return to_cold / fair;
+}
+
+TEST(Servers, AFleetOfGatewaysGivesColdServersWhatTheyCanBear) {
+  const double part = cold_part(300, 2 * kS);
+  EXPECT_GT(part, 0.5);  // idle ones beside full warm ones
+  EXPECT_LT(part, 1.5);
+}
+
 TEST(Servers, OnesOwnPauseIsNotReadAsSlowServers) {
   Settings s = basic_settings();
   s.plans[0].rate = s.plans[0].burst = 1e6;
