Answer 400 to units that no request can have, so that one stranger cannot spin a gateway

Six gateways logged "driver: request N overdue". Counting what each part of the gateway did in 200 ms found 1,500 to 2,600 timers set and fired there, 30 to 54 ms of CPU against the 22 ms that 0.11 of a core gives, while two to eight requests were read: "7.452 CPU 46 ... timers 2611". The spells follow lines such as "7.750 units 1e+06 space-lookup basic"; 34 strangers sent units=1e12, 27 units=0.

At fault: frontend.cpp, parse_quota, which caps a number at a million and takes any; Gateway::Impl, where such units pull up the usual size of their class, so that every other request is expected to take no time and is looked at again after no time (doubt and watch). The units also went to the counter, into the customer's total at all gateways.

Ruled out: large bodies of strangers (82 kB at the most in 200 ms), lists (50 entries are read in one turn), reconnects to discovery and counter (none in the spells), page faults.

--- a/src/brain.cpp
+++ b/src/brain.cpp
@@ -537,9 +537,8 @@
     const auto end = std::stable_partition(
         draws.begin(), draws.begin() + std::ptrdiff_t(few),
         [&](const auto& d) { return !many || (warmth(now, *std::get<2>(d)) < 1) == cold; });
-    const auto best = std::min_element(draws.begin(), end, [](const auto& a, const auto& b) {
-      return std::get<1>(a) < std::get<1>(b);
-    });
+    const auto best = std::min_element(
+        draws.begin(), end, [](const auto& a, const auto& b) { return std::get<1>(a) < std::get<1>(b); });
     return std::get<2>(*best);
   }
 
@@ -738,6 +737,7 @@
         slices_(settings_, mix(seed + 2)),
         servers_(settings_, mix(seed + 1)) {
     settings_.gateways = std::max(1, settings_.gateways);
+    settings_.largest_units = std::max(1.0, settings_.largest_units);
     means_.resize(settings_.classes.size() + 1);
     units_.resize(means_.size());
   }
@@ -890,7 +890,7 @@
       if (p.name == e.plan) plan = &p;
     Customer& c = slices_.find(now_, e, *plan);
     double& usual = units_[index(*cls)];
-    usual += (usual > 0 ? kMeanGain : 1.0) * (e.units - usual);
+    usual += (usual > 0 ? kMeanGain : 1.0) * (std::min(e.units, settings_.largest_units) - usual);
     const double quota_units = plan->rate > 0 ? e.units : expected(*cls, e.units) / kSecond;
     slices_.count(now_, c, quota_units);
     Request& r = requests_[e.id];
@@ -965,10 +965,11 @@
   std::size_t index(const ClassSettings& cls) const {
     return &cls == &unknown_class_ ? settings_.classes.size() : std::size_t(&cls - settings_.classes.data());
   }
-  // Units tell a request's size where they vary within a class.
+  // Units tell a request's size where they vary within a class, from one to the largest. Danger: one that was
+  // taken for next to no work would be looked at again every microsecond.
   double expected(const ClassSettings& cls, double units) const {
-    const double usual = units_[index(cls)];
-    return mean_of(cls) * (usual > 0 && units > 0 ? units / usual : 1.0);
+    const double usual = units_[index(cls)], most = settings_.largest_units;
+    return mean_of(cls) * (usual > 0 && units > 0 ? std::clamp(units / usual, 1 / most, most) : 1.0);
   }
 
   // Rule 2: where may this request still go?
--- a/src/net/frontend.cpp
+++ b/src/net/frontend.cpp
@@ -61,7 +61,7 @@
   return Micros(std::min(value, double(kLongestPatience)));
 }
 
-void parse_quota(std::string_view text, RequestArrived& out) {
+void parse_quota(std::string_view text, double largest_units, RequestArrived& out) {
   out.set_size = 0;
   while (!text.empty()) {
     const auto comma = std::min(text.find(','), text.size());
@@ -72,6 +72,9 @@
     if (equals == std::string_view::npos) throw BadRequest("bad Quota-Info");
     const auto name = part.substr(0, equals);
     const double value = std::min(number(part.substr(equals + 1), "Quota-Info"), 1e6);
+    // Danger: units that no request can have would be added to its customer's total for all gateways, and
+    // make every other request look like no work at all.
+    if (name == "units" && (value <= 0 || value > largest_units)) throw BadRequest("bad Quota-Info");
     if (name == "units") out.units = value;
     if (name == "spread") out.set_size = int(value);
     if (name == "first") out.first_gateway = int(value);
@@ -104,7 +107,7 @@
   const auto expires = view(r["X-Expires-In"]);
   out.patience = expires.empty() ? cls->deadline : parse_patience(expires);
   a.plan = std::string(view(r["Plan"]));
-  parse_quota(view(r["Quota-Info"]), a);
+  parse_quota(view(r["Quota-Info"]), settings.largest_units, a);
   a.client_retry = r["X-Second-Try"] == "1";
   out.outgoing.method = std::string(view(r.method_string()));
   out.outgoing.target = std::string(target);
--- a/tests/gateway_test.cpp
+++ b/tests/gateway_test.cpp
@@ -816,8 +816,8 @@
   EXPECT_LE(used.size(), 16u);  // of 24; a fresh draw each time reaches them all
 }
 
-// What a fleet of gateways, each with little to send, sends to 12 cold servers over what would be their part by
-// the capacity that they have at the least, beside 8 warm ones. Each answer takes 100 ms.
+// What a fleet of gateways, each with little to send, sends to 12 cold servers over what would be their part
+// by the capacity that they have at the least, beside 8 warm ones. Each answer takes 100 ms.
 double cold_part(int gateways, Micros between) {
   Settings s = basic_settings();
   s.gateways = gateways;
@@ -935,6 +935,20 @@
     EXPECT_TRUE(answers.count(label("r", i)) || attempted.count(label("r", i))) << i;
 }
 
+TEST(Module, ARequestOfImpossibleUnitsMakesNoOtherLookLikeNoWork) {
+  Settings s = basic_settings();
+  s.may_cancel = false;  // so that an attempt that takes long is only looked at
+  s.largest_units = 4;
+  Driver d(s);
+  d.arrive(0, "large", 100);
+  RequestArrived usual = Driver::request("usual", kMs);
+  usual.customer = "c2";
+  ASSERT_EQ(all<SendAttempt>(d.step(kMs, {usual})).size(), 1u);
+  // Left without an answer, it is looked at a few times until its client gives up, beside the looks each
+  // second.
+  EXPECT_LT(all<SetTimer>(d.run(500 * kMs)).size(), 20u);
+}
+
 TEST(Module, UnknownPlanAndClassAreStillServed) {
   Driver d;
   RequestArrived r = Driver::request("x", 0);
--- a/tests/net/driver_test.cpp
+++ b/tests/net/driver_test.cpp
@@ -56,6 +56,8 @@
       {head + "X-Expires-In: -5m\r\n\r\n", 400},
       {head + "X-Expires-In: nanm\r\n\r\n", 400},
       {head + "Quota-Info: units=many\r\n\r\n", 400},
+      {head + "Quota-Info: units=0,spread=2,first=0\r\n\r\n", 400},
+      {head + "Quota-Info: units=1e12,spread=2,first=0\r\n\r\n", 400},
       {head + "Content-Length: 1\r\nContent-Length: 2\r\n\r\n", 400},
       {head + "X: " + std::string(40'000, 'x') + "\r\n\r\n", 413},
       {"POST /intro-request/00000000b4d65521 HTTP/1.1\r\nContent-Length: 70000\r\n\r\n", 400},
