Tell a refused client the time of the limit that refused it, not of the slice's store

At fault: Impl::decide, which passed the slice's store to the advice whatever had refused; and for slices let in by lot, where the store says nothing.

Now the ceiling tells when its part covers the request, the open cap one expected answer, a lot the time in which the slice earns the request; the longest of those that refused, at most a third of the aim, as before.

--- a/src/brain.cpp
+++ b/src/brain.cpp
@@ -246,9 +246,11 @@
   // Is this request within the slice? One larger than the store can hold passes when that is full.
   // Danger: where a slice is less than a request in the time that the burst lasts, a store of it never holds
   // one, and a customer spread over many gateways is refused at each. There the slice is let in by lot.
+  bool by_lot(const Customer& c) const {
+    return c.set_size >= kMany && c.read_at > 0 && depth(c) < kFew * settings_.largest_units;
+  }
   bool covers(const Customer& c, double units) {
-    if (c.set_size >= kMany && c.read_at > 0 && depth(c) < kFew * settings_.largest_units)
-      return double((random_ = mix(random_)) >> 11) * 0x1p-53 * c.own < slice(c);
+    if (by_lot(c)) return double((random_ = mix(random_)) >> 11) * 0x1p-53 * c.own < slice(c);
     return c.rate <= 0 || c.store >= std::min(units, depth(c)) - 1e-9;
   }
   void take(Customer& c, double units) {
@@ -257,12 +259,15 @@
     c.whole -= units;
   }
 
-  // When the slice will have filled enough. Danger: a client that returns after the aim takes units from
-  // fresh requests and earns nothing; the advice stays short.
-  Micros retry_after(const Customer& c, double units, Micros aim) {
-    const double lacking = std::max(0.0, units - c.store) / std::max(slice(c), 1e-6) * kSecond;
+  // Seconds until the slice will have filled enough; where it is let in by lot, has earned as much.
+  double lacks(const Customer& c, double units) const {
+    return std::max(0.0, units - (by_lot(c) ? 0 : c.store)) / std::max(slice(c), 1e-6);
+  }
+  // Danger: a client that returns after the aim takes units from fresh requests and earns nothing; the advice
+  // stays short.
+  Micros retry_after(double seconds, Micros aim) const {
     const double most = std::min(double(settings_.max_retry_after), kAdviseShare * double(aim));
-    return std::max(settings_.tick, Micros(std::min(most, lacking)));
+    return std::max(settings_.tick, Micros(std::min(most, seconds * kSecond)));
   }
 
   // Hands own demand to the counter if a call is due, and tells whether a first total is on its way.
@@ -380,6 +385,9 @@
 
 // ---- 2. Ceilings and open caps ------------------------------------------------------------------------
 // Danger: the ceiling is a rule. An even part of its rate and stock is safe alone.
+double ceiling_lacks(const Customer& c, double units) {  // seconds until it covers so much
+  return (units - c.ceiling) * c.set_size / c.plan->ceiling_rate;
+}
 bool ceiling_covers(Micros now, Customer& c, double units) {
   const PlanSettings& p = *c.plan;
   if (p.ceiling_rate <= 0) return true;
@@ -935,7 +943,11 @@
     const bool excess = plan.over_worth > plan.over_cost && servers_.pressure(now_) < kRelaxed;
     if (!under || (!within && !excess)) {
       ++refused_[!under ? "ceiling" : capped ? "open cap" : "slice"];
-      emit(Refuse{r.id, slices_.retry_after(c, r.quota_units, r.cls->aim)});
+      // Danger: each limit has a time of its own. By the slice's store alone, a client that another limit
+      // refused was told to come back at once, and was refused again.
+      const double lacks = std::max({under ? 0 : ceiling_lacks(c, r.units), capped ? r.expected / kSecond : 0,
+                                     sliced ? 0 : slices_.lacks(c, r.quota_units)});
+      emit(Refuse{r.id, slices_.retry_after(lacks, r.cls->aim)});
       finish(r);
       return forget(requests_.find(r.id));
     }
--- a/tests/gateway_test.cpp
+++ b/tests/gateway_test.cpp
@@ -477,6 +477,33 @@
   }
 }
 
+TEST(OpenCap, ARefusalTellsWhenAnAttemptMayHaveEndedAndNotToComeBackAtOnce) {
+  Settings s = basic_settings();
+  s.plans[0].rate = s.plans[0].burst = 1000;
+  s.plans[0].max_open = 2;  // one at each of two gateways
+  Driver d(s);
+  ASSERT_EQ(all<SendAttempt>(d.arrive(kMs, "one")).size(), 1u);
+  const auto refused = all<Refuse>(d.arrive(2 * kMs, "two"));
+  ASSERT_EQ(refused.size(), 1u);
+  EXPECT_GE(refused[0].retry_after, 80 * kMs);  // a sixth of the aim, before there are answers
+  EXPECT_LE(refused[0].retry_after, 165 * kMs);
+}
+
+TEST(Ceiling, ARefusalTellsWhenItsPartWillCoverTheRequest) {
+  Settings s = basic_settings();
+  s.plans[0].rate = s.plans[0].burst = 1000;
+  s.plans[0].ceiling_rate = 20;  // ten a second at each of two gateways
+  s.plans[0].ceiling_burst = 4;
+  s.has_counter = false;
+  Driver d(s);
+  Micros now = 10 * kS;
+  std::vector<Refuse> refused;
+  for (int i = 0; i < 40 && refused.empty(); ++i) refused = all<Refuse>(d.arrive(++now, label("r", i)));
+  ASSERT_EQ(refused.size(), 1u);
+  EXPECT_GE(refused[0].retry_after, 80 * kMs);
+  EXPECT_LE(refused[0].retry_after, 100 * kMs);
+}
+
 // What one gateway lets in, and the one that takes its place at the same instant.
 class HandoverTest : public ::testing::Test {
  protected:
