Cut the in-flight limit by a sixth of the aim until the idle answer time is learnt

From 8 s on 117 servers got 21 to 22 attempts a second each (14 before), 30 and more at 12 s; time-outs rose from 57 to 2,031 in two seconds at the kept servers alone while half of the answers took 214, 294, 486, 820 ms (109 before). No gateway sent less: each had seen some 50 answers by then.

At fault: Servers::adapt. The idle answer time counts as known after 150 answers, 18 s at one of 279 gateways; until then the limit only grows, by every good answer, however late it is and whatever times out.

Until the idle time is known, a sixth of the aim stands for it, as it does for a class's mean.

--- a/src/brain.cpp
+++ b/src/brain.cpp
@@ -57,6 +57,7 @@
 constexpr double kUneven = 1.6;            // one server's part of the in-flight limit over an even one
 constexpr double kMeanGain = 0.02;         // per answer; smoothing of a class's answer time
 constexpr double kNormGain = 1.0 / 30;     // per answer; smoothing of the fleet's answer times
+constexpr double kIdleOfAim = 1.0 / 6;     // of a class's aim: its answer time, until answers tell
 constexpr double kIdleGain = 1.0 / 150;    // per answer; slower, so that its least is no lucky run
 constexpr double kBaseGain = 1.0 / 40000;  // per answer; how fast the idle answer time may rise
 constexpr double kErrorRatio = 10;         // mean answers that an error counts for: it has to be tried again
@@ -675,17 +676,20 @@
   // itself. What all our attempts take, against what they took when servers were idle, bounds how many
   // may be out. A slow single server is not the fleet's: it is left to `slowness`.
   void adapt(Micros now, Outcome o, bool timed, double over_aim, double mean) {
+    // Danger: one of a hundred gateways learns the idle time only after many seconds, and its limit would
+    // grow all the while, however late the answers.
+    const double idle = base_ > 0 ? base_ : kIdleOfAim;
     if (timed) {
       // Danger: a few attempts lost or far heavier than the rest are no sign of a full fleet.
-      if (base_ > 0) over_aim = std::min(over_aim, kOutlier * base_);
-      norm_ += (norm_ > 0 ? kNormGain : 1.0) * (over_aim - norm_);
+      over_aim = std::min(over_aim, kOutlier * idle);
+      norm_ += kNormGain * (over_aim - norm_);
       slow_norm_ += std::max(kIdleGain, 1.0 / ++answers_) * (over_aim - slow_norm_);
       // Danger: the first answers are the fastest; an idle time from them alone is too short.
       if (answers_ > 1 / kIdleGain)
         base_ = base_ <= 0 ? slow_norm_ : std::min(slow_norm_, base_ + kBaseGain * (slow_norm_ - base_));
     }
     if (o == Outcome::kFull) return;  // danger: one server, or one plan there, is not the fleet
-    if (base_ <= 0 || norm_ <= kBusy * base_) {
+    if (norm_ <= kBusy * idle) {
       if (timed && room_ < 0.5 * even()) limit_ = even() + kGrow;
     } else if (double(now - cut_at_) > mean) {
       limit_ = even() * kLimitCut;
@@ -696,7 +700,7 @@
   const Settings& settings_;
   std::uint64_t random_;
   std::map<std::string, Server> servers_;
-  double limit_ = 0, norm_ = 0, slow_norm_ = 0, base_ = 0;
+  double limit_ = 0, norm_ = kIdleOfAim, slow_norm_ = 0, base_ = 0;
   int answers_ = 0;
   Micros cut_at_ = 0;
   double peer_rate_ = 0;
@@ -973,7 +977,7 @@
   }
 
   double mean_of(const ClassSettings& cls) const {
-    return means_[index(cls)] > 0 ? means_[index(cls)] : double(cls.aim) / 6;
+    return means_[index(cls)] > 0 ? means_[index(cls)] : kIdleOfAim * double(cls.aim);
   }
   std::size_t index(const ClassSettings& cls) const {
     return &cls == &unknown_class_ ? settings_.classes.size() : std::size_t(&cls - settings_.classes.data());
--- a/tests/gateway_test.cpp
+++ b/tests/gateway_test.cpp
@@ -769,6 +769,17 @@
   return most;
 }
 
+TEST(Overload, LateAnswersCutTheLimitBeforeTheIdleTimeIsLearnt) {
+  Settings s = basic_settings();
+  s.gateways = 1;
+  s.plans[0].rate = s.plans[0].burst = 1e6;
+  Driver late(s), idle(s);
+  // At most 120 answers in six seconds, after 0.8 of the aim, and after a tenth of it.
+  const int most = most_out(late, 600, [](int) { return 400 * kMs; });
+  EXPECT_LE(most, 12);
+  EXPECT_GT(most_out(idle, 150, [](int) { return 50 * kMs; }), most);
+}
+
 TEST(Overload, TheFirstAndFastestAnswersAreNotTakenForTheIdleTime) {
   Settings s = basic_settings();
   s.gateways = 1;
