Start a class's mean answer time from the settings, and let the first answers count as one each

Work varies a lot (a tenth of the lookups answered within 19 ms, a tenth after 363 ms and more); sent again, the same work is done twice and servers go on with what was taken back.

At fault: Impl::count, where the first answer of a class becomes its mean; 7 times that was 130 ms at many a gateway, and with a gain of 0.02 and five answers a second it stayed so for ten seconds. With next to one attempt out at a server, `doubt` finds no answer since that would tell a heavy request from a stalled server.

Ruled out: stalled servers (the attempts taken back were spread over all 167), handshakes (14 ms more for a new connection).

A sixth of the aim now counts as eight answers, as a server's prior does, and each answer as one until the gain is 0.02.

--- a/src/brain.cpp
+++ b/src/brain.cpp
@@ -752,6 +752,7 @@
     settings_.gateways = std::max(1, settings_.gateways);
     settings_.largest_units = std::max(1.0, settings_.largest_units);
     means_.resize(settings_.classes.size() + 1);
+    met_.resize(means_.size());
     units_.resize(means_.size());
   }
 
@@ -783,6 +784,7 @@
     slices_.figures(f);
     servers_.figures(f);
     for (double& mean : means_) f(mean);
+    for (double& n : met_) f(n);
     for (double& units : units_) f(units);
     f(retries_);
   }
@@ -1059,8 +1061,12 @@
 
   // What an attempt that was answered, or will not be, tells of its server and takes of the quota.
   void count(Request& r, Attempt& a, Outcome o, Micros duration, double billed, const LoadReport& load) {
-    double& m = means_[index(*r.cls)];
-    if (o == Outcome::kOk) m += (m > 0 ? kMeanGain : 1.0) * (double(duration) - m);
+    // Danger: the first answer alone, often a quick one, would make the next attempts look stalled, and with
+    // few requests for long. What settings tell counts for some answers.
+    double &m = means_[index(*r.cls)], &n = met_[index(*r.cls)];
+    if (o == Outcome::kOk)
+      m = mean_of(*r.cls) +
+          std::max(kMeanGain, 1 / (kPriorSamples + ++n)) * (double(duration) - mean_of(*r.cls));
     const double mean = mean_of(*r.cls);
     // Danger: a gateway that stood still finds answers old; what they say they took counts, not the clock.
     const double over_aim = double(duration) / double(std::max<Micros>(1, r.cls->aim)) * mean / r.expected;
@@ -1165,6 +1171,7 @@
   Servers servers_;
   std::vector<double> units_;                          // mean units by class
   std::vector<double> means_;                          // us; mean answer time by class
+  std::vector<double> met_;                            // good answers by class
   std::unordered_map<std::string, Request> requests_;  // looked up by id, never walked
   std::unordered_map<std::int64_t, std::pair<std::string, int>> timers_;
   std::map<std::string, Micros> logged_;
