Keep fading demand on the counter, so that one read tells the present and not a mean of seconds

Each request was followed through the gateways and its customer's quota kept beside it: of the units asked of `basic` 11% were let in beyond the quota and 15% refused with half of the burst unused, of `fleet` 9% and 5%, of `standard` 25% refused so. A customer of `fleet` comes through 142 to 273 gateways; 7.4% (`basic`) were let in beyond the quota by the lot although the total just read was above the rate, as it was the mean since its name began, up to 16 s before: a spike is seen late and held for long.

At fault: QuotaSlices::call and answered. Where a gateway reads a name again each second, the difference of two reads is the demand in between; one that meets a customer every 20 s has the sum since the name began and nothing else.

A request is now added with a weight that grows by e in each memory of the customer's demand, the same at all gateways. The total over the weight of the moment is the fading demand of all, as `own` already was of one; names serve ten memories. The correction for totals of a counter that has just begun is not needed any more and is gone.

--- a/src/brain.cpp
+++ b/src/brain.cpp
@@ -21,14 +21,13 @@
 constexpr double kSecond = 1e6;           // microseconds
 constexpr Micros kPeriod = 1'000'000;     // us; the design's "about a second" between re-splits
 constexpr double kMaxHorizon = 5;         // s; longest smoothing of demand, even for a deep burst
-constexpr Micros kEpoch = 16 * kPeriod;   // a counter name serves so long; a new one frees a lost count
-constexpr Micros kKnownFor = 4 * kEpoch;  // a customer or a total older than this is forgotten
+constexpr double kEpoch = 10;  // memories of demand that a counter name serves; amounts grow by e in each
+constexpr Micros kNameLife = 60'000'000;  // us; the counter's most
+constexpr Micros kKnownFor = 64'000'000;  // us; a customer or a total older than this is forgotten
 constexpr double kIdleGuess = 0.5;  // of the quota: a customer that asked no more has its whole burst left
 constexpr int kMany = 8;            // gateways of a customer's set, from which on its slices are small
 constexpr double kFew = 2;          // large requests that a slice's part of the burst holds, or it is small
 constexpr double kKnownWeight = 0.25;  // of a request of a known customer, for the need of a call
-constexpr double kFresh = 0.25;        // of whole quotas: names hold less while a counter is new
-constexpr double kFreshKeep = 0.95;    // of that evidence, a total
 constexpr double kOpenSpread = 0.85;   // deviations that the mean stays under an open cap
 constexpr double kOpenLeast = 0.3;     // of an open cap, that mean at the least
 constexpr double kOpenBurst = 1;       // s of an open cap's rate that may be met at once
@@ -119,14 +118,14 @@
   double others = 0;     // units a second asked elsewhere, as last measured
   double whole = 0;      // units the customer has left, as far as this gateway can tell
   double store = 0;      // units of them that are ours to let in
-  double uncounted = 0;  // units asked here that no call has carried yet
+  double uncounted = 0;  // units asked here that no call has carried yet, fading
   int asks = 0;          // requests that they came in
   Micros called_at = 0;
-  Micros read_at = 0;      // last believed total; 0: none
-  std::int64_t epoch = 0;  // the counter name that `seen` belongs to
-  double seen = 0;         // its total when last read
-  Micros seen_at = 0;
-  double added = 0;                  // units that our own calls have added since
+  Micros read_at = 0;                // last believed total; 0: none
+  std::int64_t epoch = 0;            // of the counter name in use
+  Micros counts_from = 0;            // what its total tells: demand since then
+  double before = 0;                 // units a second asked elsewhere up to then
+  double added = 0;                  // units that our own calls have added to it, fading
   int calling = 0;                   // calls on their way
   std::vector<std::string> waiting;  // requests that wait for the first total
   double ceiling = 0;                // units left of our even part of the ceiling
@@ -137,7 +136,8 @@
   template <typename F>
   void figures(F f) {
     f(set_size), f(place), f(rate), f(last_use), f(at), f(own), f(others), f(whole), f(store), f(uncounted);
-    f(asks), f(called_at), f(read_at), f(epoch), f(seen), f(seen_at), f(added), f(ceiling), f(ceiling_at);
+    f(asks), f(called_at), f(read_at), f(epoch), f(counts_from), f(before), f(added), f(ceiling);
+    f(ceiling_at);
     f(elsewhere);
   }
 };
@@ -204,7 +204,7 @@
   }
   template <typename F>
   void figures(F f) {
-    f(call_rate_), f(calls_), f(crowd_), f(calls_at_), f(could_), f(had_), f(born_), f(in_a_row_);
+    f(call_rate_), f(calls_), f(crowd_), f(calls_at_), f(born_), f(in_a_row_);
   }
 
   double burst(const Customer& c) const { return c.plan->rate > 0 ? c.plan->burst : c.rate * kOpenBurst; }
@@ -231,7 +231,10 @@
     const double dt = double(now - c.at) / kSecond;
     if (dt <= 0) return;
     c.at = now;
-    c.own *= fade(dt, c);
+    const double keep = fade(dt, c);
+    c.own *= keep;
+    c.uncounted *= keep;
+    c.added *= keep;
     c.store = std::min(depth(c), c.store + slice(c) * dt);
     const double paid = std::min(0.0, c.whole + slice(c) * dt);
     c.whole = std::min(burst(c), std::max(paid, c.whole + (c.rate - c.others) * dt));
@@ -285,17 +288,16 @@
     if (c.calling > 0 || (known && now - c.called_at < kPeriod)) return false;
     if (calls_ < 1 || c.asks * (known ? kKnownWeight : 1) < most / calls_ - (1 - kKnownWeight)) return false;
     calls_ -= 1;
-    // All gateways switch to a new name at once, at times spread over the customers.
-    const Micros phase = Micros(c.key % std::uint64_t(kEpoch));
-    const std::int64_t epoch = (now + phase) / kEpoch;
+    const std::int64_t epoch = (now + phase(c)) / length(c);
     if (epoch != c.epoch) {
       c.epoch = epoch;
-      c.seen = c.added = 0;
-      c.seen_at = epoch * kEpoch - phase;
+      c.added = 0;
+      c.counts_from = begun(c);
+      c.before = c.others;
     }
     const auto name = std::int64_t(mix(c.key ^ mix(std::uint64_t(epoch))) >> 2);
     pending_[name] = {who, c.uncounted};
-    out.push_back(AddToCounter{name, c.uncounted, 2 * kEpoch});
+    out.push_back(AddToCounter{name, c.uncounted * growth(now, c), kNameLife});
     c.uncounted = 0;
     c.asks = 0;
     c.called_at = now;
@@ -340,43 +342,43 @@
     --c.calling;
     if (a.outcome == CountOutcome::kNotAdded) c.uncounted += amount;
     if (!ok) return &c;
-    c.added += amount;
-    double dt = double(now - c.seen_at) / kSecond;
-    const double all = a.total - c.seen;
-    if (c.seen <= 0) {
-      // Danger: a total of a counter that was just started or emptied is younger than its name. What totals
-      // amount to over all customers tells.
-      could_ = kFreshKeep * could_ + c.rate * dt;
-      had_ = kFreshKeep * had_ + all;
-      if (had_ < kFresh * could_) dt = std::min(dt, double(now - born_) / kSecond);
-    }
-
-    // Danger: a counter that forgot. Less than we added ourselves proves it; then nothing is believed.
-    if (all >= c.added * 0.999 && dt > 0) {
-      advance(now, c);
-      const bool first = c.read_at <= 0;
-      c.others += (1 - fade(dt, c)) * ((all - c.added) / dt - c.others);
-      // What a customer asked elsewhere before we met it tells how much of its burst can be left.
-      if (first) c.whole *= std::clamp((1 - c.others / c.rate) / (1 - kIdleGuess), 0.0, 1.0);
-      c.read_at = now;
-      // What is left is split by share of demand; what a slice has saved up stays.
-      c.store = std::min(depth(c), std::max(c.store, c.whole * slice(c) / c.rate));
+    advance(now, c);
+    c.added += amount * fade(double(now - c.called_at) / kSecond, c);
+    const double all = a.total / growth(now, c);
+    // Danger: a counter that forgot. Less than we added ourselves proves it; then nothing is believed, and
+    // what is counted from now on comes on top of what was.
+    if (all < c.added * 0.999) {
+      c.added = all;
+      c.counts_from = now;
+      c.before = c.others;
+      return &c;
     }
-    c.seen = a.total;
-    c.seen_at = now;
-    c.added = 0;
+    const bool first = c.read_at <= 0;
+    c.others = (all - c.added) / memory(c) + c.before * fade(double(now - c.counts_from) / kSecond, c);
+    // What a customer asked elsewhere before we met it tells how much of its burst can be left.
+    if (first) c.whole *= std::clamp((1 - c.others / c.rate) / (1 - kIdleGuess), 0.0, 1.0);
+    c.read_at = now;
+    // What is left is split by share of demand; what a slice has saved up stays.
+    c.store = std::min(depth(c), std::max(c.store, c.whole * slice(c) / c.rate));
     return &c;
   }
 
  private:
   bool silent() const { return in_a_row_ >= kDownAfter; }
+  // Danger: a plain sum read now and then tells the mean since a name began, which misses a spike and keeps
+  // it for long after. Gateways that share a clock add to a name the more, the later: its total over that
+  // growth is the fading demand of all. They switch to a new name at once, at times spread over the
+  // customers.
+  Micros length(const Customer& c) const { return Micros(kEpoch * memory(c) * kSecond); }
+  Micros phase(const Customer& c) const { return Micros(c.key % std::uint64_t(length(c))); }
+  Micros begun(const Customer& c) const { return c.epoch * length(c) - phase(c); }
+  double growth(Micros now, const Customer& c) const { return 1 / fade(double(now - begun(c)) / kSecond, c); }
 
   const Settings& settings_;
   std::uint64_t random_;
   double call_rate_ = kCallsFirst, calls_ = kCallsFirst;
   double crowd_ = 0;  // part of the calls that failed or took long; fading mean
   Micros calls_at_ = 0;
-  double could_ = 0, had_ = 0;  // units: what whole quotas would have come to, and what first totals were
   Micros born_ = 0;
   int in_a_row_ = 0;  // failed calls
   std::map<std::string, Customer> customers_;
