--- a/tests/gateway_test.cpp
+++ b/tests/gateway_test.cpp
@@ -1089,6 +1089,41 @@
   EXPECT_LT(all<SetTimer>(d.run(500 * kMs)).size(), 20u);
 }
 
+TEST(Module, AThousandGatewaysAndServersAreNoneTooMany) {
+  constexpr int kThousand = 1024;
+  Settings s = counted_settings();
+  s.gateways = kThousand;
+  s.position = kThousand - 1;
+  std::vector<std::string> names;
+  for (int i = 0; i < kThousand; ++i) names.push_back(label("s", i));
+  Driver d(s, Driver::up(names));
+  Totals totals;
+  std::set<std::string> used;
+  std::set<std::int64_t> counted;
+  Micros now = kS;
+  for (int i = 0; i < 2 * kThousand; ++i, now += kS) {
+    RequestArrived r = Driver::request(label("r", i), now);
+    r.customer = label("c", i);
+    r.set_size = kThousand;
+    r.first_gateway = i % kThousand;
+    auto todo = d.step(now, {r});
+    ASSERT_EQ(all<AddToCounter>(todo).size(), 1u) << i;
+    const auto call = all<AddToCounter>(todo)[0];
+    counted.insert(call.name);
+    const auto sent = all<SendAttempt>(d.step(now, {totals.answer(call)}));
+    ASSERT_EQ(sent.size(), 1u) << i;
+    used.insert(sent[0].server);
+    d.end(now, sent[0], Outcome::kOk);
+    d.run(now + kS / 2);
+  }
+  EXPECT_EQ(counted.size(), 2u * kThousand);
+  EXPECT_GT(used.size(), 500u);  // a fresh draw each time would reach some 880
+  EXPECT_EQ(d.gateway().count_servers(now).listed, std::size_t(kThousand));
+  ServerListUpdate none;
+  d.step(now, {none});
+  EXPECT_EQ(d.gateway().count_servers(now).listed, 0u);
+}
+
 TEST(Module, UnknownPlanAndClassAreStillServed) {
   Driver d;
   RequestArrived r = Driver::request("x", 0);
--- a/tests/net/process_test.cpp
+++ b/tests/net/process_test.cpp
@@ -60,6 +60,13 @@
     return log;
   }
   void terminate() { ::kill(pid_, SIGTERM); }
+  // Kilobytes of memory that it holds.
+  long resident() const {
+    std::ifstream status("/proc/" + std::to_string(pid_) + "/status");
+    for (std::string line; std::getline(status, line);)
+      if (line.starts_with("VmRSS:")) return std::stol(line.substr(6));
+    return -1;
+  }
   void kill() {
     ::kill(pid_, SIGKILL);
     ::waitpid(pid_, nullptr, 0);
@@ -155,6 +162,44 @@
   EXPECT_FALSE(moved_to.requests.empty());
 }
 
+TEST(Process, ServesAmongAThousandGatewaysWithAThousandServersInOneMessage) {
+  constexpr int kThousand = 1024;
+  asio::io_context io;
+  FakeServer before(io), after(io);
+  FakeDiscovery discovery(io);
+  const auto entries = [&](const std::string& name, const Listener& at) {
+    std::string out;
+    for (int i = 0; i < kThousand; ++i)
+      out += (i > 0 ? "," : "") + entry(name + std::to_string(i), at.text());
+    return out;
+  };
+  const auto port = free_port(io);
+  auto json = nlohmann::json::parse(config(port, before, discovery));
+  json["known"] = nlohmann::json::parse(list(41, true, entries("old", before)));
+  json["settings"]["ReplicasOfMe"] = kThousand;
+  json["settings"]["Position"] = kThousand - 1;
+  json["settings"]["TiersOfService"][0]["QuotaRate"] = json["settings"]["TiersOfService"][0]["Depth"] = 1e9;
+  discovery.first = "\n";
+  Process p(json.dump());
+  ASSERT_NE(p.log_until("ready").find("ready"), std::string::npos);
+  Client c(io, {asio::ip::address_v4::loopback(), port});
+  c.send(get("known"));
+  ASSERT_TRUE(c.receive());
+  EXPECT_EQ(before.requests.size(), 1u);
+  ASSERT_TRUE(until(io, [&] { return discovery.asked.size() == 1; }));
+  discovery.tell(list(42, true, entries("new", after)));
+  for (int i = 0; after.requests.size() < 300 && i < 3000; ++i) {
+    c.send(get("t" + std::to_string(i)));
+    const auto answer = c.receive();
+    ASSERT_TRUE(answer);
+    EXPECT_EQ(answer->result_int(), 200u);
+  }
+  EXPECT_EQ(after.requests.size(), 300u);
+#if !defined(__SANITIZE_ADDRESS__)
+  EXPECT_LT(p.resident(), 16 << 10);  // half of the least that a gateway may have
+#endif
+}
+
 TEST(Process, TwoProcessesTakeClientsFromOneInheritedSocketAndTheOldOneLeavesNoneUnread) {
   asio::io_context io;
   FakeServer server(io);
