Slow down at the counter's first bad answer, and speed up only while the pace binds

Calls by second over 306 gateways, with log lines added in a copy: 1,750 answered of 1,750, then 2,316 of 2,894, then 648 of 3,859 with 3,058 late, 1,518, 1,347, 2,097, and round again every five seconds. The pace stood at 18 a second at the middle gateway while 9 were used. At fault: QuotaSlices::answered, where the pace grew by one an answer however little of it was used, lost 2.5% for a late answer, and began anew with the first answer after six failures in a row. Ruled out: a slow counter (3.3 ms between the spells), a cut (none).

--- a/src/brain.cpp
+++ b/src/brain.cpp
@@ -33,11 +33,12 @@
 constexpr double kOpenBurst = 1;       // s of an open cap's rate that may be met at once
 constexpr double kCallsFirst = 4;      // calls at once, and a second before the counter's bound is met
 constexpr double kCallsLeast = 1;      // at the least, to notice its return
-constexpr double kCrowded = 0.2;       // part of the calls failed or slow at which the pace is held
-constexpr double kCrowdGain = 0.1;     // an answer; smoothing of that part
-constexpr double kLateWeight = 5;      // refused calls that a late one counts for: all meet that line
-constexpr double kPaceGain = 0.2;      // of the pace, a second, up while calls are answered
-constexpr int kDownAfter = 6;  // failed calls in a row: down; nobody waits, and its pace is found anew
+constexpr double kBound = 0.75;        // of the calls that may be saved up: with fewer, the pace binds
+constexpr double kPaceGain = 0.1;      // of the pace, a second, up while it binds; doubled until a bad answer
+constexpr double kLateCut = 0.5;       // of the pace, after a call that got no answer in time
+constexpr double kSlowCut = 0.8;       // of the pace, after one turned away, or past half of that time
+constexpr int kDrain = 8;  // time-outs between cuts: a line of three, the longest, drains at half the pace
+constexpr int kDownAfter = 6;  // failed calls in a row: down; nobody waits for it
 constexpr int kDraws = 2;      // servers compared for an attempt, and our part of them
 constexpr Micros kLinked = 5'000'000;  // us for which a connection to a server is taken to stay open
 constexpr double kLinkBias = 1.5;      // a server without one must look so much better
@@ -204,7 +205,7 @@
   }
   template <typename F>
   void figures(F f) {
-    f(call_rate_), f(calls_), f(crowd_), f(calls_at_), f(born_), f(in_a_row_);
+    f(call_rate_), f(calls_), f(kept_rate_), f(cut_at_), f(calls_at_), f(born_), f(in_a_row_);
   }
 
   double burst(const Customer& c) const { return c.plan->rate > 0 ? c.plan->burst : c.rate * kOpenBurst; }
@@ -324,17 +325,22 @@
     const auto [who, amount] = found->second;
     pending_.erase(found);
     const bool ok = a.outcome == CountOutcome::kOk;
-    // Danger: a counter asked more than it can serve answers next to nobody; every gateway sees that alike
-    // and slows down alike. After a silence the pace is found anew.
-    const bool back = ok && silent();
+    // Danger: a counter asked more than it can serve answers next to nobody, and hundreds of gateways fill
+    // its line within a tenth of a second. Each slows down at the first bad answer, once while the line
+    // drains, and speeds up only while its pace holds calls back. After a silence it goes on at half of the
+    // pace before.
+    const bool back = ok && silent(), late = a.outcome == CountOutcome::kUnknown;
+    const bool slow = 2 * a.duration > settings_.counter_timeout;
     in_a_row_ = ok ? 0 : in_a_row_ + 1;
-    const bool late = a.outcome == CountOutcome::kUnknown, slow = 2 * a.duration > settings_.counter_timeout;
-    crowd_ = back ? 0 : crowd_ + kCrowdGain * ((late ? kLateWeight : ok && !slow ? 0 : 1) - crowd_);
-    if (crowd_ > 0) {
-      const double change = kPaceGain / std::max(1.0, call_rate_) * (1 - crowd_ / kCrowded);
-      call_rate_ = std::max(kCallsLeast, call_rate_ * (1 + std::max(change, -kPaceGain)));
-    } else {
-      call_rate_ += 1;
+    if (in_a_row_ == 1) kept_rate_ = kLateCut * call_rate_;
+    if (back) call_rate_ = std::max(call_rate_, kept_rate_);
+    if (!ok || slow) {
+      if (now - cut_at_ >= kDrain * settings_.counter_timeout) {
+        call_rate_ = std::max(kCallsLeast, (late ? kLateCut : kSlowCut) * call_rate_);
+        cut_at_ = now;
+      }
+    } else if (calls_ < kBound * std::max(kCallsFirst, call_rate_)) {
+      call_rate_ += cut_at_ == 0 ? 1 : kPaceGain;
     }
     auto it = customers_.find(who);
     if (it == customers_.end()) return nullptr;
@@ -377,7 +383,8 @@
   const Settings& settings_;
   std::uint64_t random_;
   double call_rate_ = kCallsFirst, calls_ = kCallsFirst;
-  double crowd_ = 0;  // part of the calls that failed or took long; fading mean
+  double kept_rate_ = 0;  // where the pace goes on after a silence
+  Micros cut_at_ = 0;     // the pace; 0: never
   Micros calls_at_ = 0;
   Micros born_ = 0;
   int in_a_row_ = 0;  // failed calls
--- a/tests/gateway_test.cpp
+++ b/tests/gateway_test.cpp
@@ -457,6 +457,55 @@
   EXPECT_GT(early, late);
 }
 
+// A hundred gateways that want twice the calls that their counter can serve. It serves them in turn, works on
+// those that nobody waits for any more, and turns away what would wait three time-outs.
+TEST(QuotaSlices, AFleetOfGatewaysKeepsTheCountersLineShort) {
+  const Settings s = counted_settings();
+  constexpr int kGateways = 100, kAsks = 16, kSeconds = 20;
+  constexpr Micros kService = kS / 800, kStep = 5 * kMs;
+  std::vector<Driver> fleet;
+  for (int g = 0; g < kGateways; ++g) fleet.emplace_back(s, Driver::up({"a", "b", "c"}), g + 1);
+  std::multimap<Micros, std::pair<int, CounterAnswered>> answers;
+  Micros free_at = 0;
+  std::size_t calls = 0, answered = 0, late = 0;
+  const auto settle = [&](Micros now, int g, const std::vector<Action>& todo) {
+    for (const SendAttempt& a : all<SendAttempt>(todo)) fleet[std::size_t(g)].end(now, a, Outcome::kOk);
+    for (const AddToCounter& call : all<AddToCounter>(todo)) {
+      CounterAnswered a;
+      a.name = call.name;
+      a.total = call.amount;
+      a.outcome = CountOutcome::kNotAdded;
+      a.duration = 2 * kMs;
+      if (free_at - now < 3 * s.counter_timeout) {
+        free_at = std::max(free_at, now) + kService;
+        a.outcome = free_at - now < s.counter_timeout ? CountOutcome::kOk : CountOutcome::kUnknown;
+        a.duration = std::min(free_at - now, s.counter_timeout);
+      }
+      answers.emplace(now + a.duration, std::pair(g, a));
+      if (now < kSeconds / 2 * kS) continue;
+      ++calls;
+      answered += a.outcome == CountOutcome::kOk;
+      late += a.outcome == CountOutcome::kUnknown;
+    }
+  };
+  int asked = 0;
+  for (Micros now = kStep; now < kSeconds * kS; now += kStep) {
+    while (!answers.empty() && answers.begin()->first <= now) {
+      const auto [g, a] = answers.begin()->second;
+      answers.erase(answers.begin());
+      settle(now, g, fleet[std::size_t(g)].step(now, {a}));
+    }
+    for (int g = 0; g < kGateways; ++g) settle(now, g, fleet[std::size_t(g)].run(now));
+    for (; asked < now * kGateways * kAsks / kS; ++asked) {
+      RequestArrived r = Driver::request(label("r", asked), now);
+      r.customer = label("c", asked);
+      settle(now, asked % kGateways, fleet[std::size_t(asked % kGateways)].step(now, {r}));
+    }
+  }
+  EXPECT_LT(late, calls / 10);
+  EXPECT_GT(answered, 800 * kSeconds / 2 * 6 / 10);
+}
+
 TEST(QuotaSlices, ARequestLargerThanTheLocalStoreIsNotShutOutForEver) {
   Settings s = basic_settings();
   s.plans[0].burst = 10;
