Give the last calls to customers without a total, which are let in unseen otherwise

At fault: the condition in QuotaSlices::call that wanted more than one request a call below 57% of the saved-up calls, for customers without a total as for known ones.

--- a/src/brain.cpp
+++ b/src/brain.cpp
@@ -284,10 +284,11 @@
     const double most = std::max(kCallsFirst, call_rate_);
     calls_ = std::min(most, calls_ + call_rate_ * double(now - calls_at_) / kSecond);
     calls_at_ = now;
-    // The fewer calls are to spare, the more requests must one carry. Danger: customers met now and then by
-    // each of a hundred gateways would use up what the counter bears.
+    // A customer without a total of use comes first: without a call it is let in unseen. For the others, the
+    // fewer calls are to spare, the more requests must one carry. Danger: customers met now and then by each
+    // of a hundred gateways would use up what the counter bears.
     if (c.calling > 0 || (known && now - c.called_at < kPeriod)) return false;
-    if (calls_ < 1 || c.asks * (known ? kKnownWeight : 1) < most / calls_ - (1 - kKnownWeight)) return false;
+    if (calls_ < 1 || (known && c.asks * kKnownWeight < most / calls_ - (1 - kKnownWeight))) return false;
     calls_ -= 1;
     const std::int64_t epoch = (now + phase(c)) / length(c);
     if (epoch != c.epoch) {
--- a/tests/gateway_test.cpp
+++ b/tests/gateway_test.cpp
@@ -320,6 +320,24 @@
   EXPECT_TRUE(all<SendAttempt>(out).empty());
 }
 
+TEST(QuotaSlices, TheLastCallsToSpareGoToCustomersWithoutATotal) {
+  Driver d(counted_settings());
+  Totals totals;
+  const auto ask = [&](Micros now, const std::string& customer) {
+    RequestArrived r = Driver::request(label(customer + "-", now), now);
+    r.customer = customer;
+    const auto calls = all<AddToCounter>(d.step(now, {r}));
+    for (const AddToCounter& call : calls) d.step(now, {totals.answer(call)});
+    return calls.size();
+  };
+  EXPECT_EQ(ask(21 * kS / 2, "known"), 1u);
+  d.run(12 * kS - 1);
+  for (int i = 0; i < 3; ++i) EXPECT_EQ(ask(12 * kS + i, label("new", i)), 1u) << i;
+  EXPECT_EQ(ask(12 * kS + 3, "known"), 0u);  // its total is fresh enough, and one call is left
+  EXPECT_EQ(ask(12 * kS + 4, "new3"), 1u);
+  EXPECT_EQ(ask(12 * kS + 5, "new4"), 0u);
+}
+
 TEST(QuotaSlices, GatewaysAgreeOnTheNames) {
   Driver one(counted_settings(), Driver::up({"a"}), 1), two(counted_settings(), Driver::up({"a"}), 2);
   auto a = all<AddToCounter>(one.arrive(kS, "r")), b = all<AddToCounter>(two.arrive(1050 * kMs, "r"));
