--- a/tests/gateway_test.cpp
+++ b/tests/gateway_test.cpp
@@ -1054,6 +1054,30 @@
   EXPECT_LE(used.size(), 16u);  // of 24; a fresh draw each time reaches them all
 }
 
+// One of 300 gateways sends eight attempts a second to 160 servers. In a draw of a few of them there is
+// seldom one of those that it was connected to within five seconds.
+TEST(Servers, OneOfManyGatewaysReusesItsConnectionsAlsoWhereServersAreMany) {
+  Settings s = basic_settings();
+  s.gateways = 300;
+  s.plans[0].rate = s.plans[0].burst = 1e6;
+  std::vector<std::string> names;
+  for (int i = 0; i < 160; ++i) names.push_back(label("s", i));
+  Driver d(s, Driver::up(names));
+  std::map<std::string, Micros> used;
+  int attempts = 0, connected = 0;
+  for (int i = 0; i < 400; ++i) {
+    const Micros now = i * 125 * kMs;
+    for (const SendAttempt& a : all<SendAttempt>(d.arrive(now, label("r", i)))) {
+      const auto last = used.find(a.server);
+      if (i >= 80) ++attempts, connected += last != used.end() && now - last->second < 5 * kS;
+      used[a.server] = now;
+      d.end(now + 100 * kMs, a, Outcome::kOk, 0, 100 * kMs);
+    }
+  }
+  EXPECT_GT(connected, attempts * 3 / 4);
+  EXPECT_GT(used.size(), 12u);  // and they are not all the same few
+}
+
 // What a fleet of gateways, each with little to send, sends to 12 cold servers over what would be their part
 // by the capacity that they have at the least, beside 8 warm ones. Each answer takes 100 ms.
 double cold_part(int gateways, Micros between) {
