Count an attempt as written once the kernel has its last byte

Seen by reading: Upstream::broke took state kWriting for never ran, and that state ended only when the handler of the last write ran; abandon() read 'last', set before the write. Forced in a test: a peer's end is queued before the news of the last write. Ruled out: requests of a single write, whose news precedes all reads. Lines at fault: upstream.cpp, written(), broke(), abandon().

--- a/src/net/upstream.cpp
+++ b/src/net/upstream.cpp
@@ -6,7 +6,6 @@
 #include <array>
 #include <boost/asio/buffer.hpp>
 #include <boost/asio/post.hpp>
-#include <boost/asio/write.hpp>
 #include <boost/beast/http/parser.hpp>
 #include <cerrno>
 #include <charconv>
@@ -104,8 +103,9 @@
   std::optional<ResponseParser> parser;
   BodyBudget::Share share;
   std::uint64_t passed = 0;  // bytes of the answer that went on to the client
+  std::size_t written = 0;   // bytes of `out` that the kernel has taken
   bool reading = false;
-  bool last = false;    // the attempt's last byte has been handed over for writing
+  bool last = false;    // `out` ends with the attempt's last byte
   bool begun = false;   // its answer goes on to the client as it comes
   bool paused = false;  // until the client has taken what there was
   Micros heard = 0;
@@ -188,7 +188,7 @@
   const auto it = attempts_.find(key);
   if (it == attempts_.end()) return false;
   const Held c = it->second;
-  const bool written = c->state != Connection::State::kConnecting && c->last;
+  const bool written = c->state == Connection::State::kWaiting || c->begun;
   attempts_.erase(it);
   // A reset, so that nothing that is still on its way is taken for a request, nor an answer waited for.
   error_code ignored;
@@ -253,22 +253,32 @@
   c->passed = 0;
   c->begun = c->paused = false;
   c->last = !c->upload;
+  c->written = 0;
   expect(*c);
-  written(c);
   read(c);
+  flush(c);
 }
 
-// Writes what is in `out`, and what is still to come of a large body after it.
-void Upstream::written(const Held& c) {
-  asio::async_write(c->socket, asio::buffer(c->out), [this, c, key = c->attempt](error_code ec, std::size_t) {
-    // Danger: an answer can come before this does, and the connection may carry the next attempt by now.
-    if (c->state != Connection::State::kWriting || !(c->attempt == key)) return;
-    if (ec) return end(c, {Outcome::kConnectFailed, {}, {}}, false);  // its last byte never left
-    if (!c->last) return pump(c);
-    c->state = Connection::State::kWaiting;
-    c->upload.reset();
-    calls_.wrote();
-  });
+// Writes what is in `out`, and what is still to come of a large body after it. Danger: the kernel takes the last
+// byte at once, while the news of a write may come after that of an answer or a reset; a request that may have
+// run would count as never sent. So it is asked directly how much it took.
+void Upstream::flush(const Held& c) {
+  while (c->written < c->out.size()) {
+    error_code ec;
+    c->written += c->socket.write_some(asio::buffer(c->out) + c->written, ec);
+    if (!ec) continue;
+    const auto go_on = [this, c, key = c->attempt](error_code ec) {
+      // Danger: an answer can come before this does, and the connection may carry the next attempt by now.
+      if (c->state != Connection::State::kWriting || !(c->attempt == key)) return;
+      ec ? end(c, {Outcome::kConnectFailed, {}, {}}, false) : flush(c);  // its last byte never left
+    };
+    if (ec == asio::error::would_block) return c->socket.async_wait(tcp::socket::wait_write, go_on);
+    return asio::post(io_, [go_on, ec] { go_on(ec); });
+  }
+  if (!c->last) return pump(c);
+  c->state = Connection::State::kWaiting;
+  c->upload.reset();
+  calls_.wrote();
 }
 
 void Upstream::pump(const Held& c) {
@@ -288,7 +298,8 @@
     if (!c->out.empty()) c->out.insert(0, size).append("\r\n");
     if (c->last) c->out += "0\r\n\r\n";
   }
-  written(c);
+  c->written = 0;
+  flush(c);
 }
 
 // Nothing is read before there is something to read, so that all connections share one buffer.
@@ -360,10 +371,6 @@
   }
   c->begun = true;
   c->share.set(0);
-  if (c->state == Connection::State::kWriting && c->last) {
-    c->state = Connection::State::kWaiting;  // it was written, the news of it comes later
-    calls_.wrote();
-  }
   calls_.begun(c->attempt, head, length ? std::optional<std::uint64_t>(*length) : std::nullopt);
   return c->state != Connection::State::kClosed;
 }
@@ -380,8 +387,6 @@
 void Upstream::answered(const Held& c) {
   AttemptResult result = result_of(c->parser->get());
   if (result.outcome == Outcome::kOk) result.body = std::move(c->body);
-  // Its end was written, the news of it comes later.
-  if (c->state == Connection::State::kWriting && c->last && !c->begun) calls_.wrote();
   // An answer that overtook the request leaves a connection in the middle of it.
   const bool keep =
       c->state == Connection::State::kWaiting && c->parser->get().keep_alive() && c->pending.empty();
--- a/src/net/upstream.hpp
+++ b/src/net/upstream.hpp
@@ -87,7 +87,7 @@
   void connect(const Held& connection);
   void write(const Held& connection);
   void pump(const Held& connection);
-  void written(const Held& connection);
+  void flush(const Held& connection);
   void expect(Connection& connection);
   void read(const Held& connection);
   void took(const Held& connection, std::size_t size);
--- a/tests/net/upstream_test.cpp
+++ b/tests/net/upstream_test.cpp
@@ -227,6 +227,45 @@
   EXPECT_TRUE(results.empty());  // who abandons hears no more of it
 }
 
+TEST_F(UpstreamTest, WhatEndsAfterTheLastByteMayHaveRunWhicheverNewsComesFirst) {
+  // Guards against an unsafe request sent twice: the end of the connection was read before the news that the
+  // kernel had taken the last byte. Both wait in the loop here, in that order.
+  tcp::acceptor acceptor(io, {asio::ip::address_v4::loopback(), 0});
+  tcp::socket peer(io);
+  acceptor.async_accept(peer, [](error_code) {});
+  outgoing.upload = std::make_shared<Upload>(10);
+  bool wanted = false;
+  outgoing.upload->wanted = [&] { wanted = true; };
+  make();
+  list.members[0].address = acceptor.local_endpoint();
+  upstream->update(list);
+  send(1);
+  ASSERT_TRUE(until(io, [&] { return wanted && peer.is_open(); }));
+  while (io.poll() > 0) io.restart();
+  io.restart();
+  peer.shutdown(tcp::socket::shutdown_send);
+  asio::post(io, [&] {
+    outgoing.upload->put("0123456789");
+    outgoing.upload->finish();
+  });
+  ASSERT_TRUE(until(io, [&] { return results.size() == 1; }));
+  EXPECT_EQ(results[0].second.outcome, Outcome::kReset);
+  EXPECT_EQ(written, 1);
+}
+
+TEST_F(UpstreamTest, AnAttemptWhoseLastByteNeverLeftIsAbandonedAsOneThatNeverRan) {
+  outgoing.body.assign(32 << 20, 'x');  // more than sockets hold, and the server reads nothing
+  tcp::acceptor acceptor(io, {asio::ip::address_v4::loopback(), 0});
+  tcp::socket peer(io);
+  acceptor.async_accept(peer, [](error_code) {});
+  make();
+  list.members[0].address = acceptor.local_endpoint();
+  upstream->update(list);
+  send(1);
+  ASSERT_TRUE(until(io, [&] { return peer.is_open() && peer.available() > 0; }));
+  EXPECT_FALSE(upstream->abandon({1, 0}));
+}
+
 TEST_F(UpstreamTest, ConnectionsAreKeptAndReused) {
   make();
   for (int i = 1; i <= 5; ++i) EXPECT_EQ(result(std::uint64_t(i)).outcome, Outcome::kOk);
