Let a server's connection rest before its next use, against late second answers

Ruled out: second answers in the same piece, which already close the connection. The clock can be stopped and moved by tests. Line at fault: Upstream::take_idle.

--- a/src/net/timers.hpp
+++ b/src/net/timers.hpp
@@ -16,7 +16,8 @@
 // by the steady one, so that time never goes back when the system clock is set.
 class Clock {
  public:
-  Micros now() const { return wall_ + micros(std::chrono::steady_clock::now() - steady_); }
+  virtual ~Clock() = default;
+  virtual Micros now() const { return wall_ + micros(std::chrono::steady_clock::now() - steady_); }
 
  private:
   template <typename Duration>
--- a/src/net/upstream.cpp
+++ b/src/net/upstream.cpp
@@ -24,6 +24,7 @@
 using ResponseParser = http::response_parser<http::buffer_body>;
 
 constexpr double kIdleShare = 0.4;  // of the servers' idle limit; they may close somewhat earlier
+constexpr Micros kSettle = 20'000;  // us; a second answer may come some milliseconds after the first
 constexpr Micros kSweep = 500'000;
 constexpr std::uint32_t kMostHeader = 16 << 10;
 constexpr Micros kStall = 10'000'000;  // us in which an answer that has begun must go on
@@ -197,17 +198,21 @@
   return written;
 }
 
+// The one last used of those that have stood for long enough. Danger: what a server sends once more to the
+// attempt before would be taken for the answer to this one.
 Upstream::Held Upstream::take_idle(Pool& pool) {
-  while (!pool.idle.empty()) {
-    const Held c = pool.idle.back();
+  for (std::size_t i = pool.idle.size(); i-- > 0;) {
+    const Held c = pool.idle[i];
+    const Micros stood = clock_.now() - c->idle_since;
     char byte;
     const auto got = ::recv(c->socket.native_handle(), &byte, 1, MSG_PEEK | MSG_DONTWAIT);
     const bool open = got < 0 && (errno == EAGAIN || errno == EWOULDBLOCK);
-    if (open && double(clock_.now() - c->idle_since) < kIdleShare * double(limits_.idle)) {
-      pool.idle.pop_back();
+    if (!open || double(stood) >= kIdleShare * double(limits_.idle)) {
+      drop(*c);  // closed by the server, or about to be
+    } else if (stood >= kSettle) {
+      forget_idle(*c);
       return c;
     }
-    drop(*c);  // closed by the server, or about to be
   }
   return nullptr;
 }
@@ -259,9 +264,9 @@
   flush(c);
 }
 
-// Writes what is in `out`, and what is still to come of a large body after it. Danger: the kernel takes the last
-// byte at once, while the news of a write may come after that of an answer or a reset; a request that may have
-// run would count as never sent. So it is asked directly how much it took.
+// Writes what is in `out`, and what is still to come of a large body after it. Danger: the kernel takes the
+// last byte at once, while the news of a write may come after that of an answer or a reset; a request that
+// may have run would count as never sent. So it is asked directly how much it took.
 void Upstream::flush(const Held& c) {
   while (c->written < c->out.size()) {
     error_code ec;
--- a/tests/net/body_test.cpp
+++ b/tests/net/body_test.cpp
@@ -62,6 +62,7 @@
     EXPECT_EQ(answer->result_int(), 200u);
     EXPECT_TRUE(answer->body() == body) << id;
     EXPECT_EQ(answer->chunked(), id == "chunked");
+    wait(rig.io, 25);  // a server's connection is used again only once no second answer is due
   }
   EXPECT_EQ(s1.requests.size(), 3u);
   EXPECT_EQ(s1.peers.size(), 1u);
--- a/tests/net/driver_test.cpp
+++ b/tests/net/driver_test.cpp
@@ -28,6 +28,7 @@
     ASSERT_TRUE(answer);
     EXPECT_EQ(answer->result_int(), 200u);
     EXPECT_EQ(answer->body(), "/intro-request/00000000b4d65521?x=1");
+    wait(rig.io, 25);  // a server's connection is used again only once no second answer is due
   }
   EXPECT_EQ(s1.requests[2]["X-Trace-Id"], "t2");
   EXPECT_EQ(s1.requests[2].body(), "hello");
--- a/tests/net/loopback.hpp
+++ b/tests/net/loopback.hpp
@@ -27,6 +27,18 @@
 using boost::system::error_code;
 using Request_ = http::request<http::string_body>;
 
+// A clock that a test moves on, or stops; timers run by it, each at its own pace after that.
+class TestClock : public Clock {
+ public:
+  Micros now() const override { return stopped_ ? *stopped_ : Clock::now() + moved_; }
+  void move(Micros by) { stopped_ ? * stopped_ += by : moved_ += by; }
+  void stop() { stopped_ = now(); }
+
+ private:
+  Micros moved_ = 0;
+  std::optional<Micros> stopped_;
+};
+
 // Runs the loop until `done`, or fails the test after a time that no healthy run comes near.
 inline bool until(asio::io_context& io, const std::function<bool()>& done) {
   const auto end = std::chrono::steady_clock::now() + std::chrono::seconds(20);
@@ -38,6 +50,13 @@
   return true;
 }
 
+inline void wait(asio::io_context& io, int ms) {
+  bool over = false;
+  asio::steady_timer timer(io, std::chrono::milliseconds(ms));
+  timer.async_wait([&](error_code) { over = true; });
+  until(io, [&] { return over; });
+}
+
 inline std::string reply(const std::string& status, const std::string& headers = "",
                          const std::string& body = "") {
   return "HTTP/1.1 " + status + "\r\n" + headers + "Content-Length: " + std::to_string(body.size()) +
