Send nothing on for a client that has left, wherever its request waits

Seen by reading: Driver::gone left attempts to the module, which takes them back only where MayCancel; Session::read sent a request on before the end behind it was read and stopped past 16 KiB; Driver::forget erased a request whose SendAttempt could still come in the same batch, so that the module counted it as out for ever. Without the mend gone_test fails in WhileAConnectionCameUpLate/0, BehindItsRequest/0, HavingSentMoreThanIsReadAhead/0 and /1, its sibling for a client that stays, InTheBatchThatSendsItsAttempt/0 and /1 (429 for 200) and WhileAProcessWaitedForTheOneBeforeIt; it passes in WhileItWaitedForAServer and WhileItWaitedForTheCounter, which were right. A client that leaves behind a large body that nobody takes cannot be seen, as its end never reaches us: left open.

--- a/src/net/driver.cpp
+++ b/src/net/driver.cpp
@@ -139,6 +139,9 @@
     upstream_.abandon(key);
     return ended(key, {Outcome::kCancelled, {}, {}, 0});
   }
+  // What no server can have begun need not be sent, whether or not cancels are allowed.
+  for (std::size_t i = 0; i < r.attempts.size(); ++i)
+    if (const AttemptKey key{id, int(i)}; upstream_.withdraw(key)) ended(key, {Outcome::kNotSent, {}, {}});
   forget(it);
 }
 
@@ -242,6 +245,10 @@
   events.swap(events_);
   gateway_.handle(clock_.now(), events, actions);
   for (const Action& action : actions) std::visit([this](const auto& a) { act(a); }, action);
+  for (const std::uint64_t id : std::exchange(over_, {})) {
+    const auto it = requests_.find(id);
+    if (it != requests_.end() && it->second.out == 0) requests_.erase(it);
+  }
 }
 
 void Driver::act(const SendAttempt& a) {
@@ -322,8 +329,10 @@
   metrics_.answered(r.request_class, status);
 }
 
+// Danger: the module may name a request in the very batch that tells it of its end; an attempt that it then
+// sends must be told as ended too, or it counts as out for ever.
 void Driver::forget(Requests::iterator it) {
-  if (it->second.answered && it->second.out == 0) requests_.erase(it);
+  if (it->second.answered && it->second.out == 0) over_.push_back(it->first);
 }
 
 std::string Driver::figures() {
--- a/src/net/driver.hpp
+++ b/src/net/driver.hpp
@@ -107,6 +107,7 @@
   Timers timers_;
   Gateway gateway_;
   Requests requests_;
+  std::vector<std::uint64_t> over_;  // to be forgotten once the module has heard of their end
   std::uint64_t last_ = 0;
   std::vector<Event> events_;
   bool flushing_ = false;
--- a/src/net/frontend.cpp
+++ b/src/net/frontend.cpp
@@ -135,22 +135,21 @@
 
   // Nothing is read before there is something to read, so that a connection without a request costs little.
   void read() {
-    if (reading_ || state_ == State::kClosed || pending_.size() > kMostAhead || upload_full()) return;
-    if (discards_ && !served_ && discarded_ > kStrangerDiscards) return;
+    if (reading_ || !reads()) return;
     reading_ = true;
     socket_.async_wait(tcp::socket::wait_read, [this, self = shared_from_this()](error_code ec) {
       reading_ = false;
-      if (state_ == State::kClosed) return;
-      std::size_t size = 0;
-      if (!ec) size = socket_.read_some(asio::buffer(front_.chunk_), ec);
-      if (ec == asio::error::would_block) return read();
-      if (ec) return close();
-      touched_ = front_.clock_.now();
-      if (discards_ || state_ == State::kClosing)
-        discarded_ += size;
-      else
-        pending_.append(front_.chunk_.data(), size);
-      parse();
+      // Danger: a client that left behind its request is seen before that is sent on, not after.
+      do {
+        if (state_ == State::kClosed) return;
+        std::size_t size = 0;
+        if (!ec) size = socket_.read_some(asio::buffer(front_.chunk_), ec);
+        if (ec == asio::error::would_block) break;
+        if (ec) return close();
+        touched_ = front_.clock_.now();
+        took(size);
+        parse();
+      } while (state_ == State::kHeld && !discards_ && reads());
       read();
     });
   }
@@ -248,11 +247,30 @@
  private:
   enum class Framing { kLength, kChunked, kClose };
 
+  bool reads() const {
+    if (state_ == State::kClosed || upload_full()) return false;
+    if (state_ != State::kHeld && pending_.size() > kMostAhead) return false;
+    return !discards_ || served_ || discarded_ <= kStrangerDiscards;
+  }
+  void took(std::size_t size) {
+    if (discards_ || state_ == State::kClosing) {
+      discarded_ += size;
+      return;
+    }
+    pending_.append(front_.chunk_.data(), size);
+    // Danger: unread, it would hide that the client leaves. One that sends so much ahead is none of ours, and
+    // has the answer to the request that is held, no more.
+    if (state_ == State::kHeld && !upload_ && pending_.size() > kMostAhead) {
+      discards_ = true;
+      pending_.clear();
+    }
+  }
+
   void enter(State state) {
     state_ = state;
     since_ = progress_ = front_.clock_.now();
   }
-  bool closes() const { return front_.draining_ || !keep_alive_ || upload_; }
+  bool closes() const { return front_.draining_ || !keep_alive_ || upload_ || discards_; }
   bool upload_full() const { return upload_ && upload_->size() >= front_.budget_.whole(); }
   bool receiving() const {
     return state_ == State::kBetween || state_ == State::kReading || (state_ == State::kHeld && upload_);
--- a/src/net/upstream.cpp
+++ b/src/net/upstream.cpp
@@ -198,6 +198,14 @@
   return written;
 }
 
+bool Upstream::withdraw(AttemptKey key) {
+  const auto it = attempts_.find(key);
+  if (it == attempts_.end() || it->second->state == Connection::State::kWaiting || it->second->begun)
+    return false;
+  abandon(key);
+  return true;
+}
+
 // The one last used of those that have stood for long enough. Danger: what a server sends once more to the
 // attempt before would be taken for the answer to this one.
 Upstream::Held Upstream::take_idle(Pool& pool) {
--- a/src/net/upstream.hpp
+++ b/src/net/upstream.hpp
@@ -70,6 +70,8 @@
   void send(AttemptKey key, const std::string& server, const Outgoing& what, Micros until);
   // Closes the attempt's connection. True if its last byte may have been written.
   bool abandon(AttemptKey key);
+  // The same, but only if its last byte is not written yet. True if so.
+  bool withdraw(AttemptKey key);
   // The client has taken what there was of an answer that has begun.
   void more(AttemptKey key);
 
--- /dev/null
+++ b/tests/net/gone_test.cpp
@@ -0,0 +1,200 @@
+// Clients that leave while their request waits, each in another place: nothing of it may be sent on
+// afterwards.
+#include <sys/file.h>
+
+#include "loopback.hpp"
+#include "process.hpp"
+
+namespace cottonroad::net::testing {
+namespace {
+
+constexpr int kAfter = 300;  // ms after the client has left
+
+// With cancels allowed and not.
+class GoneTest : public ::testing::TestWithParam<bool> {
+ protected:
+  GoneTest() {
+    rig.config.settings.may_cancel = GetParam();
+    for (ClassSettings& c : rig.config.settings.classes)
+      c.aim = 3'000'000;  // a quarter of which may be waited
+  }
+  // Whoever comes now is served, and alone.
+  void only_the_next_is_sent_on(FakeServer& server) {
+    Client next = rig.client();
+    next.send(get("next"));
+    ASSERT_TRUE(next.receive());
+    ASSERT_EQ(server.requests.size(), 1u);
+    EXPECT_EQ(server.requests[0]["X-Trace-Id"], "next");
+  }
+  Rig rig;
+  FakeServer s1{rig.io};
+};
+INSTANTIATE_TEST_SUITE_P(Cancels, GoneTest, ::testing::Bool());
+
+TEST_P(GoneTest, WhileItWaitedForAServer) {
+  rig.discovery.first = "\n";
+  rig.start();  // knows no server
+  {
+    Client c = rig.client();
+    c.send(get("left"));
+    wait(rig.io, 20);
+  }
+  wait(rig.io, kAfter);
+  rig.discovery.tell(list(42, false, entry("s1", s1.text())));
+  wait(rig.io, 20);
+  only_the_next_is_sent_on(s1);
+}
+
+TEST_P(GoneTest, WhileItWaitedForTheCounter) {
+  FakeCounter counter(rig.io);
+  counter.silent = true;
+  rig.config.settings.has_counter = true;
+  rig.config.settings.counter_timeout = 1'000'000;
+  rig.config.counter = counter.address();
+  rig.know(member("s1", s1));
+  rig.start();
+  {
+    Client c = rig.client();
+    c.send(get("left"));
+    ASSERT_TRUE(rig.until([&] { return counter.calls.size() == 1; }));
+  }
+  wait(rig.io, kAfter);
+  EXPECT_TRUE(s1.requests.empty());
+  counter.silent = false;
+  counter.last->write("$1\r\n1\r\n");
+  only_the_next_is_sent_on(s1);
+}
+
+TEST_P(GoneTest, WhileAConnectionCameUpLate) {
+  // The server's line is full, and taken from only after the client has left; the kernel then tries again.
+  tcp::acceptor full(rig.io, {asio::ip::address_v4::loopback(), 0}, true);
+  full.listen(0);
+  tcp::socket filler(rig.io);
+  filler.connect(full.local_endpoint());
+  Member m = member("s1", s1);
+  m.address = full.local_endpoint();
+  rig.know(m);
+  rig.config.dial_timeout = 3'500'000;
+  rig.start();
+  {
+    Client c = rig.client();
+    c.send(post("left"));
+    wait(rig.io, 20);
+  }
+  wait(rig.io, kAfter);
+  std::vector<std::shared_ptr<tcp::socket>> came;
+  std::function<void()> accept = [&] {
+    full.async_accept([&](error_code ec, tcp::socket s) {
+      if (ec) return;
+      came.push_back(std::make_shared<tcp::socket>(std::move(s)));
+      accept();
+    });
+  };
+  accept();
+  wait(rig.io, 1500);  // longer than the kernel's first try again
+  error_code ignored;
+  for (const auto& s : came) EXPECT_EQ(s->available(ignored), 0u);
+  full.close();
+}
+
+TEST_P(GoneTest, BehindItsRequest) {
+  // Guards against a request sent on though its client's end was there to be read with it.
+  rig.know(member("s1", s1));
+  rig.start();
+  {
+    Client c = rig.client();
+    c.send(get("left"));
+  }
+  only_the_next_is_sent_on(s1);
+}
+
+TEST_P(GoneTest, HavingSentMoreThanIsReadAhead) {
+  // Guards against a client that goes unseen, as what it sent ahead was left unread.
+  rig.start();  // knows no server
+  {
+    Client c = rig.client();
+    c.send(get("left") + std::string(200'000, 'x'));
+    wait(rig.io, 20);
+  }
+  wait(rig.io, kAfter);
+  rig.discovery.tell(list(42, false, entry("s1", s1.text())));
+  wait(rig.io, 20);
+  only_the_next_is_sent_on(s1);
+}
+
+TEST_P(GoneTest, HavingSentMoreThanIsReadAheadAClientThatStaysHasItsAnswer) {
+  rig.know(member("s1", s1));
+  std::shared_ptr<Peer> held;
+  s1.on_request = [&](Peer& p, const Request_&) { held = p.shared_from_this(); };
+  rig.start();
+  Client c = rig.client();
+  c.send(get("stays") + std::string(200'000, 'x'));
+  ASSERT_TRUE(rig.until([&] { return held != nullptr; }));
+  wait(rig.io, 20);
+  held->write(reply("200 OK", "", "held"));
+  const auto answer = c.receive();
+  ASSERT_TRUE(answer);
+  EXPECT_EQ(answer->body(), "held");
+  EXPECT_FALSE(answer->keep_alive());
+}
+
+// An attempt sent in the batch in which its client goes must be told as ended.
+TEST_P(GoneTest, InTheBatchThatSendsItsAttempt) {
+  FakeCounter counter(rig.io);
+  counter.silent = true;
+  rig.config.settings.gateways = 1;
+  rig.config.settings.has_counter = true;
+  rig.config.settings.counter_timeout = 1'000'000;
+  rig.config.settings.plans[0].max_open = 1;
+  rig.config.counter = counter.address();
+  rig.know(member("s1", s1));
+  rig.start();
+  {
+    Client c = rig.client();
+    c.send(get("left"));
+    ASSERT_TRUE(rig.until([&] { return counter.calls.size() == 1; }));
+    while (rig.io.poll() > 0) rig.io.restart();
+    rig.io.restart();
+    counter.last->write("$1\r\n1\r\n");  // both are read in one turn of the loop
+  }
+  wait(rig.io, 50);
+  Client next = rig.client();
+  next.send(get("next"));
+  const auto answer = next.receive();
+  ASSERT_TRUE(answer);
+  EXPECT_EQ(answer->result_int(), 200u);  // its place under the open cap is free
+}
+
+TEST(Gone, WhileAProcessWaitedForTheOneBeforeIt) {
+  asio::io_context io;
+  FakeServer server(io);
+  FakeDiscovery discovery(io);
+  char shared[] = "/tmp/kelpford-test-XXXXXX";
+  ASSERT_NE(::mkdtemp(shared), nullptr);
+  const std::string owner = std::string(shared) + "/owner.json",
+                    alive = std::string(shared) + "/alive-before";
+  std::ofstream(owner) << R"({"token":"before"})";
+  const int lock = ::open(alive.c_str(), O_RDWR | O_CREAT | O_CLOEXEC, 0600);
+  ASSERT_EQ(::flock(lock, LOCK_EX | LOCK_NB), 0);  // lives, and never hands over
+  tcp::acceptor platform(io, {asio::ip::address_v4::loopback(), 0});
+  {
+    Client c(io, platform.local_endpoint());
+    c.send(get("left"));
+  }
+  Process p(config(platform.local_endpoint().port(), server, discovery), platform.native_handle(), shared);
+  ASSERT_NE(p.log_until("does not answer").find("does not answer"), std::string::npos);
+  Client next(io, platform.local_endpoint());
+  next.send(get("next"));
+  ASSERT_TRUE(next.receive());
+  ASSERT_EQ(server.requests.size(), 1u);
+  EXPECT_EQ(server.requests[0]["X-Trace-Id"], "next");
+  p.terminate();
+  EXPECT_EQ(p.exit_code(), 0);
+  ::close(lock);
+  for (const char* file : {"owner.json", "alive-before"})
+    ::unlink((std::string(shared) + "/" + file).c_str());
+  ::rmdir(shared);
+}
+
+}  // namespace
+}  // namespace cottonroad::net::testing
