Forget a server, and close its connections, once it has left the list

Seen by reading: Upstream::update only marked pools, so that each release left its servers' pools for good. Without the mend AServerThatHasLeftTheListIsForgottenWithItsConnections finds it known still. The module keeps its own small entry of such a server: left open.

--- a/src/net/upstream.cpp
+++ b/src/net/upstream.cpp
@@ -127,9 +127,22 @@
 Upstream::~Upstream() = default;
 
 void Upstream::update(const MemberList& list) {
-  if (list.complete)
-    for (auto& [id, pool] : pools_) pool.up = false;
+  if (list.complete) {
+    std::set<std::string> listed;
+    for (const Member& m : list.members) listed.insert(m.entry.server);
+    for (auto it = pools_.begin(); it != pools_.end();) {
+      if (!listed.count(it->first)) drop_idle(it->second);
+      it = listed.count(it->first) ? std::next(it) : pools_.erase(it);
+    }
+  }
   for (const Member& m : list.members) {
+    if (m.entry.state == ServerState::kRemoved) {
+      if (const auto it = pools_.find(m.entry.server); it != pools_.end()) {
+        drop_idle(it->second);
+        pools_.erase(it);
+      }
+      continue;
+    }
     Pool& pool = pools_[m.entry.server];
     const bool told_address = m.address.port() != 0;
     const bool other = m.entry.started_at != pool.started_at || (told_address && m.address != pool.address);
@@ -137,8 +150,7 @@
     pool.started_at = m.entry.started_at;
     if (told_address) pool.address = m.address;
     // Danger: connections to a process that is gone may stay open and silent.
-    if (other || m.entry.state == ServerState::kRemoved)
-      while (!pool.idle.empty()) drop(*Held(pool.idle.back()));
+    if (other) drop_idle(pool);
   }
 }
 
@@ -146,7 +158,11 @@
   disabled ? disabled_.insert(server).second : disabled_.erase(server) > 0;
   const auto found = pools_.find(server);
   if (found == pools_.end()) return;
-  while (!found->second.idle.empty()) drop(*Held(found->second.idle.back()));  // it will be restarted
+  drop_idle(found->second);  // it will be restarted
+}
+
+void Upstream::drop_idle(Pool& pool) {
+  while (!pool.idle.empty()) drop(*Held(pool.idle.back()));
 }
 
 Upstream::Pool* Upstream::open_pool(const std::string& server) {
--- a/src/net/upstream.hpp
+++ b/src/net/upstream.hpp
@@ -98,6 +98,7 @@
   void broke(const Held& connection);
   void end(const Held& connection, AttemptResult result, bool keep);
   void forget_idle(Connection& connection);
+  void drop_idle(Pool& pool);
   void drop(Connection& connection);
   void end_later(AttemptKey key, Outcome outcome);
   void sweep();
--- a/tests/net/upstream_test.cpp
+++ b/tests/net/upstream_test.cpp
@@ -357,6 +357,24 @@
   EXPECT_EQ(moved.requests.size(), 1u);
 }
 
+TEST_F(UpstreamTest, AServerThatHasLeftTheListIsForgottenWithItsConnections) {
+  // Guards against memory that grows with each release.
+  make();
+  ASSERT_EQ(result(1).outcome, Outcome::kOk);
+  list.complete = false;
+  list.members[0].entry.state = ServerState::kRemoved;
+  upstream->update(list);
+  EXPECT_FALSE(upstream->knows("s"));
+  EXPECT_TRUE(until(io, [&] { return server.peers[0]->over; }));
+  list.complete = true;
+  list.members = {member("a", server), member("b", server)};
+  upstream->update(list);
+  list.members = {member("b", server)};
+  upstream->update(list);
+  EXPECT_FALSE(upstream->knows("a"));
+  EXPECT_TRUE(upstream->knows("b"));
+}
+
 TEST_F(UpstreamTest, TheNumberOfConnectionsIsBounded) {
   server.on_request = [](Peer&, const Request_&) {};
   make({15'000'000, 250'000, 2});
