Find a silent watch in time to watch anew, and ask an agent that was away within the grace

Seen by reading: 5 s of quiet looked at every 0.5 s left 0.5 s of the 6 s; any byte renewed it; a connect that hung or an agent that took the call and said nothing had the same 5 s; back-off grew to 1 s though news counts as told when the agent returns. Now 4.5 s (two heartbeats of 2 s and some) by a timer at that instant, only whole lines count, and asking again and waiting for the answer take a quarter of the settings' drain grace each, but for an agent that answers with a status of its own. Without the mend these fail: SilenceIsFound..., BytesThatEndNoLine..., AnAgentThatTakesTheCall..., AnAgentThatReturns..., AListMayComeIndented.

--- a/src/net/discovery.cpp
+++ b/src/net/discovery.cpp
@@ -7,6 +7,7 @@
 #include <charconv>
 #include <iostream>
 #include <stdexcept>
+#include <utility>
 
 namespace cottonroad::net {
 namespace {
@@ -16,7 +17,11 @@
 using asio::ip::tcp;
 using boost::system::error_code;
 
-constexpr Micros kQuiet = 5'000'000;  // us; two heartbeats missed and some
+// us; two heartbeats missed and some. What a silent watch misses counts as told after 6 s, and is yet to be
+// got.
+constexpr Micros kQuiet = 4'500'000;
+constexpr Micros kGraceParts =
+    4;  // of the grace after news counts as told; one to ask again, one for the answer
 constexpr Micros kFirstBackoff = 100'000, kMostBackoff = 1'000'000;
 constexpr std::size_t kMostPending = 4 << 20;  // of one line
 constexpr Micros kLogEvery = 10'000'000;
@@ -66,19 +71,17 @@
 }
 
 Discovery::Discovery(asio::io_context& io, Timers& timers, const Clock& clock, tcp::endpoint agent,
-                     std::int64_t revision, Told told)
+                     std::int64_t revision, Micros drain_grace, Told told)
     : io_(io),
       timers_(timers),
       clock_(clock),
       agent_(std::move(agent)),
       revision_(revision),
+      at_once_(drain_grace > 0 ? std::min(drain_grace / kGraceParts, kMostBackoff) : kMostBackoff),
       told_(std::move(told)),
       socket_(io) {}
 
-void Discovery::start() {
-  connect();
-  watch_quiet();
-}
+void Discovery::start() { connect(); }
 
 void Discovery::move(const tcp::endpoint& agent) {
   if (agent == agent_) return;
@@ -87,10 +90,13 @@
   lost("moved");
 }
 
-// Danger: a watch can break without a word. The agent sends at least an empty line every 2 s.
-void Discovery::watch_quiet() {
-  if (clock_.now() - heard_ > kQuiet) lost("quiet");
-  timers_.after(kQuiet / 10, [this] { watch_quiet(); });
+// Danger: a watch can break without a word, and a connect can hang. The agent answers at once, and sends at
+// least an empty line every 2 s.
+void Discovery::watch_quiet(int life) {
+  if (life != life_) return;
+  const Micros until = heard_ + (answered_ ? kQuiet : at_once_);
+  if (clock_.now() >= until) return lost("quiet");
+  timers_.at(until, [this, life] { watch_quiet(life); });
 }
 
 void Discovery::connect() {
@@ -98,6 +104,9 @@
   heard_ = clock_.now();
   pending_.clear();
   lines_.clear();
+  object_.clear();
+  depth_ = 0;
+  quoted_ = escaped_ = answered_ = false;
   parser_.emplace();
   parser_->eager(true);
   parser_->body_limit(boost::none);  // a watch has no end; each line has one
@@ -106,6 +115,7 @@
     if (life != life_) return;
     ec ? lost(ec.message()) : request(life);
   });
+  watch_quiet(life);
 }
 
 void Discovery::request(int life) {
@@ -122,7 +132,8 @@
   socket_.async_read_some(asio::buffer(chunk_), [this, life](error_code ec, std::size_t size) {
     if (life != life_) return;
     if (ec) return lost(ec.message());
-    heard_ = clock_.now();
+    // Danger: bytes that end no line are no heartbeat.
+    if (!std::exchange(answered_, true)) heard_ = clock_.now();
     try {
       took(size);
     } catch (const std::exception& e) {
@@ -144,8 +155,8 @@
     if (used == 0) break;
   }
   if (!parser_->is_header_done()) return;
-  if (parser_->get().result() != http::status::ok)
-    throw std::runtime_error("status " + std::to_string(parser_->get().result_int()));
+  turned_away_ = parser_->get().result() != http::status::ok;
+  if (turned_away_) throw std::runtime_error("status " + std::to_string(parser_->get().result_int()));
   lines_ += parser_->get().body();
   parser_->get().body().clear();
   std::size_t start = 0;
@@ -154,19 +165,34 @@
     start = end + 1;
   }
   lines_.erase(0, start);
-  if (std::max(lines_.size(), pending_.size()) > kMostPending) throw std::runtime_error("a line has no end");
+  if (std::max({lines_.size(), pending_.size(), object_.size()}) > kMostPending)
+    throw std::runtime_error("a line has no end");
   if (parser_->is_done()) lost("the watch ended");
 }
 
 void Discovery::line(const std::string& text) {
+  const bool blank = text.find_first_not_of(" \r\t") == std::string::npos;
+  if (!blank) object_ += text;
+  if (!blank && !ends_object(text)) return;  // indented, it goes on in the next line
   backoff_ = 0;
-  if (text.find_first_not_of(" \r\t") == std::string::npos) return;  // a heartbeat
-  const MemberList list = parse_members(nlohmann::json::parse(text));
+  heard_ = clock_.now();
+  if (blank) return;  // a heartbeat
+  const MemberList list = parse_members(nlohmann::json::parse(std::exchange(object_, {})));
   revision_ = list.revision;
   whole_ = false;
   told_(list);
 }
 
+bool Discovery::ends_object(const std::string& text) {
+  for (const char ch : text) {
+    if (std::exchange(escaped_, false)) continue;
+    escaped_ = quoted_ && ch == '\\';
+    if (ch == '"') quoted_ = !quoted_;
+    if (!quoted_) depth_ += (ch == '{' || ch == '[') - (ch == '}' || ch == ']');
+  }
+  return depth_ <= 0 && !quoted_;
+}
+
 void Discovery::lost(const std::string& why) {
   error_code ignored;
   socket_.close(ignored);
@@ -177,7 +203,10 @@
     std::cerr << "discovery: " << why << "; watching again from " << revision_ << '\n';
   }
   const Micros wait = backoff_;
-  backoff_ = std::clamp(2 * backoff_, kFirstBackoff, kMostBackoff);
+  // Danger: what the agent gets when discovery returns counts as told at once. One that turns us away has too
+  // many callers already.
+  const Micros most = std::exchange(turned_away_, false) ? kMostBackoff : at_once_;
+  backoff_ = std::clamp(2 * backoff_, std::min(kFirstBackoff, most), most);
   timers_.after(wait, [this, life] {
     if (life == life_) connect();
   });
--- a/src/net/discovery.hpp
+++ b/src/net/discovery.hpp
@@ -34,7 +34,7 @@
  public:
   using Told = std::function<void(const MemberList&)>;
   Discovery(boost::asio::io_context& io, Timers& timers, const Clock& clock,
-            boost::asio::ip::tcp::endpoint agent, std::int64_t revision, Told told);
+            boost::asio::ip::tcp::endpoint agent, std::int64_t revision, Micros drain_grace, Told told);
   void start();
   // Goes on with the watch at another address, from the last revision.
   void move(const boost::asio::ip::tcp::endpoint& agent);
@@ -47,19 +47,25 @@
   void took(std::size_t size);
   void line(const std::string& text);
   void lost(const std::string& why);
-  void watch_quiet();
+  void watch_quiet(int life);
+  bool ends_object(const std::string& text);
 
   boost::asio::io_context& io_;
   Timers& timers_;
   const Clock& clock_;
   boost::asio::ip::tcp::endpoint agent_;
   std::int64_t revision_;
-  bool whole_ = false;  // ask for the whole list next
+  const Micros at_once_;  // in which the agent is asked again, and answers
+  bool whole_ = false;    // ask for the whole list next
+  bool turned_away_ = false;
+  bool answered_ = false;  // the watch has begun
   Told told_;
   boost::asio::ip::tcp::socket socket_;
   std::optional<Parser> parser_;
   std::array<char, 16384> chunk_;
-  std::string pending_, lines_, request_;
+  std::string pending_, lines_, request_, object_;
+  int depth_ = 0;  // of what came of an object
+  bool quoted_ = false, escaped_ = false;
   int life_ = 0;  // of the connection; handlers of earlier ones mean nothing
   Micros heard_ = 0;
   Micros backoff_ = 0;
--- a/src/net/driver.cpp
+++ b/src/net/driver.cpp
@@ -51,7 +51,7 @@
                  [this](AttemptKey key, std::string bytes) { piece(key, std::move(bytes)); }}),
       disabled_(timers_, config.shared_directory,
                 [this](const std::string& server, bool disabled) { switched(server, disabled); }),
-      discovery_(io, timers_, clock_, config.discovery, config.known.revision,
+      discovery_(io, timers_, clock_, config.discovery, config.known.revision, config.settings.drain_grace,
                  [this](const MemberList& list) {
                    using Kind = ServerListUpdate::Kind;
                    told(list, list.complete ? Kind::kComplete : Kind::kPartial);
--- a/tests/net/discovery_test.cpp
+++ b/tests/net/discovery_test.cpp
@@ -11,13 +11,18 @@
 class DiscoveryTest : public ::testing::Test {
  protected:
   DiscoveryTest() { discovery.start(); }
+  void move(Micros by) {
+    timers.after(10'000, [] {});  // so that the timers look at the clock soon
+    clock.move(by);
+    wait(io, 50);
+  }
   asio::io_context io;
-  Clock clock;
+  TestClock clock;
   Timers timers{io, clock};
   FakeDiscovery fake{io};
   std::vector<MemberList> told;
   Discovery discovery{
-      io, timers, clock, fake.address(), 41, [this](const MemberList& l) { told.push_back(l); }};
+      io, timers, clock, fake.address(), 41, 500'000, [this](const MemberList& l) { told.push_back(l); }};
 };
 
 TEST_F(DiscoveryTest, WatchesFromWhatIsKnownAndTellsChanges) {
@@ -69,6 +74,52 @@
   EXPECT_EQ(fake.asked.back(), "/catalog/members?watch=1");
 }
 
+TEST_F(DiscoveryTest, SilenceIsFoundWhileThereIsTimeToWatchAnew) {
+  // Guards against news that a silent watch missed: it counts as told 6 s after the silence began.
+  ASSERT_TRUE(until(io, [&] { return fake.asked.size() == 1; }));
+  wait(io, 20);
+  move(4'500'000);
+  EXPECT_EQ(fake.asked.size(), 2u);
+}
+
+TEST_F(DiscoveryTest, BytesThatEndNoLineAreNoHeartbeat) {
+  ASSERT_TRUE(until(io, [&] { return fake.asked.size() == 1; }));
+  wait(io, 20);
+  for (int i = 0; i < 3; ++i) {
+    move(1'400'000);
+    fake.raw(FakeDiscovery::chunk(" "));
+    wait(io, 20);
+  }
+  EXPECT_EQ(fake.asked.size(), 1u);
+  move(400'000);
+  EXPECT_EQ(fake.asked.size(), 2u);
+}
+
+TEST_F(DiscoveryTest, AnAgentThatTakesTheCallAndSaysNothingIsAskedAgainWithinTheGrace) {
+  fake.mute = true;
+  wait(io, 400);
+  EXPECT_GE(fake.asked.size(), 2u);
+}
+
+TEST_F(DiscoveryTest, AnAgentThatReturnsIsAskedWithinTheGraceHoweverLongItWasAway) {
+  fake.first = list(43, false, "");
+  ASSERT_TRUE(until(io, [&] { return told.size() == 1; }));
+  const auto at = fake.address();
+  fake.stop();
+  wait(io, 1600);  // past 0.1, 0.2, 0.4 and 0.8 s of waiting, had it doubled each time
+  FakeDiscovery back(io, at);
+  wait(io, 400);
+  EXPECT_GE(back.asked.size(), 1u);
+}
+
+TEST_F(DiscoveryTest, AListMayComeIndented) {
+  const auto text = list(44, true, entry("s\\\"{", "127.0.0.1:9"));
+  fake.first = nlohmann::json::parse(text).dump(1) + "\n\n" + list(45, false, "");
+  ASSERT_TRUE(until(io, [&] { return told.size() == 2; }));
+  EXPECT_EQ(told[0].members.at(0).entry.server, "s\"{");
+  EXPECT_EQ(fake.asked.size(), 1u);
+}
+
 TEST(Members, WrongShapesThrow) {
   for (const char* text :
        {"[]", "{}", R"({"revision":1,"members":[{}]})", R"({"revision":1,"members":[1]})",
--- a/tests/net/loopback.hpp
+++ b/tests/net/loopback.hpp
@@ -201,7 +201,8 @@
 // Answers a watch with its header and the lines that it is given.
 class FakeDiscovery : public Listener {
  public:
-  explicit FakeDiscovery(asio::io_context& io) : Listener(io) {}
+  explicit FakeDiscovery(asio::io_context& io, tcp::endpoint at = {asio::ip::address_v4::loopback(), 0})
+      : Listener(io, at) {}
   std::vector<std::string> asked;  // targets
   std::string first = "\n";        // what a watch begins with
   bool mute = false;
