Leave a late connection its time within a keyed request's window

Seen by reading: may_go allowed a repeat up to the end of the window, and a connection may take the settings' DialTimeoutUs to come up, so that it reached the server past it.

--- a/include/cottonroad/gateway.hpp
+++ b/include/cottonroad/gateway.hpp
@@ -58,6 +58,7 @@
   double largest_units = 1;
   bool settles_later = false;  // units are a guess until the first good answer
   int max_attempts = 1;
+  Micros dial_timeout = 0;  // a connection may come up so late
   bool may_probe = false;
   bool may_cancel = false;
   bool may_duplicate = false;  // two attempts of a request may be out together
--- a/src/adapter/codec.cpp
+++ b/src/adapter/codec.cpp
@@ -129,6 +129,7 @@
   s.settles_later = get(extra, "CostAfter", false);
   const Json& limits = section(info, "Limits");
   s.max_attempts = get(limits, "MaxAttempts", 1);
+  s.dial_timeout = get<Micros>(limits, "DialTimeoutUs", 0);
   s.may_probe = get(limits, "Probes", false);
   s.may_cancel = get(limits, "MayCancel", false);
   s.may_duplicate = get(limits, "MayDuplicate", false);
--- a/src/brain.cpp
+++ b/src/brain.cpp
@@ -1019,6 +1019,7 @@
 
   // Rule 2: where may this request still go?
   bool may_go(const Request& r, const Server& s) const {
+    const Micros late = settings_.dial_timeout + 2 * settings_.tick;  // so late it may reach the server
     for (const Attempt& a : r.attempts) {
       if (a.server == &s) return false;  // what failed there once may again
       if (!a.may_have_run || r.cls->repeat == Repeat::kSafe) continue;
@@ -1026,7 +1027,7 @@
       const bool same = r.cls->dedup_scope == DedupScope::kAll ||
                         (r.cls->dedup_scope == DedupScope::kZone && s.entry.zone == a.server->entry.zone) ||
                         (r.cls->dedup_scope == DedupScope::kCell && s.entry.cell == a.server->entry.cell);
-      if (!same || now_ - a.sent >= r.cls->dedup_window - 2 * settings_.tick) return false;
+      if (!same || now_ - a.sent >= r.cls->dedup_window - late) return false;
     }
     return true;
   }
