Heed a SIGTERM that comes while the process starts

Seen by reading: the socket listened before the signal had a handler, so that it ended the process with what the kernel had taken.

--- a/src/net/main.cpp
+++ b/src/net/main.cpp
@@ -58,17 +58,17 @@
 int main() {
   std::signal(SIGPIPE, SIG_IGN);
   try {
+    boost::asio::io_context io(1);
+    // Danger: a signal that comes while we start would end the process with what its socket has taken.
+    boost::asio::signal_set signals(io, SIGTERM, SIGINT), hangup(io, SIGHUP);
     auto config = read_config();
     config.listener = cottonroad::net::inherited_listener();
-    boost::asio::io_context io(1);
     cottonroad::net::Driver driver(io, config);
-    boost::asio::signal_set signals(io, SIGTERM, SIGINT);
     signals.async_wait([&](const boost::system::error_code& ec, int) {
       if (ec) return;
       std::cerr << config.name << ": draining\n";
       driver.drain([&] { io.stop(); });
     });
-    boost::asio::signal_set hangup(io, SIGHUP);
     follow_on_hangup(hangup, driver);
     std::cerr << config.name << ": ready\n";
     run(io);
