Let one action or timer that fails leave the others of its batch

Seen by reading: an exception in Driver::flush lost the actions behind it, one in Timers::fire the timers due with it. Ruled out as seen in service: no log holds a 'loop:' line.

--- a/src/net/driver.cpp
+++ b/src/net/driver.cpp
@@ -3,6 +3,7 @@
 #include <algorithm>
 #include <boost/asio/post.hpp>
 #include <charconv>
+#include <cstdio>
 #include <iostream>
 #include <utility>
 
@@ -243,8 +244,16 @@
   std::vector<Event> events;
   std::vector<Action> actions;
   events.swap(events_);
-  gateway_.handle(clock_.now(), events, actions);
-  for (const Action& action : actions) std::visit([this](const auto& a) { act(a); }, action);
+  // Danger: one that fails must not take the others' with it.
+  const auto guard = [](const auto& what) {
+    try {
+      what();
+    } catch (const std::exception& e) {
+      std::fprintf(stderr, "driver: %s\n", e.what());
+    }
+  };
+  guard([&] { gateway_.handle(clock_.now(), events, actions); });
+  for (const Action& action : actions) guard([&] { std::visit([this](const auto& a) { act(a); }, action); });
   for (const std::uint64_t id : std::exchange(over_, {})) {
     const auto it = requests_.find(id);
     if (it != requests_.end() && it->second.out == 0) requests_.erase(it);
--- a/src/net/timers.cpp
+++ b/src/net/timers.cpp
@@ -24,14 +24,21 @@
 void Timers::fire() {
   armed_for_ = 0;
   const Micros now = clock_.now();
-  std::vector<std::function<void()>> due;
+  std::vector<Entry> due;
   while (!heap_.empty() && heap_.front().when <= now) {
     std::pop_heap(heap_.begin(), heap_.end());
-    due.push_back(std::move(heap_.back().what));
+    due.push_back(std::move(heap_.back()));
     heap_.pop_back();
   }
   arm();  // first, so that a throw in what is due can't stop the clock
-  for (auto& what : due) what();
+  for (std::size_t i = 0; i < due.size(); ++i) {
+    try {
+      due[i].what();
+    } catch (...) {
+      for (++i; i < due.size(); ++i) at(due[i].when, std::move(due[i].what));  // nor be the end of the others
+      throw;
+    }
+  }
 }
 
 }  // namespace cottonroad::net
