End only once every client has its answer: unread requests, backlog, untaken answers

Seen by reading: Frontend::quiet took a served connection with a request unread, and one whose answer was still on its way, for nothing owed, and the process exited; stop_accepting closed the socket with clients in the kernel's line. Without the mend AClientBetweenRequestsWithOneUnread..., AnAnswerIsOwedUntilItsClientHasTakenIt and WhatTheKernelHasAcceptedIsAnsweredAfterTheLastAccept fail.

--- a/src/net/frontend.cpp
+++ b/src/net/frontend.cpp
@@ -547,14 +547,18 @@
       return;
     }
     // Danger: the acceptor may have been closed since; what was accepted before must still be read.
-    const auto session = std::make_shared<Session>(*this, ++last_, std::move(socket));
-    sessions_.emplace(last_, session);
-    session->read();
+    admit(std::move(socket));
     if (sessions_.size() > most_clients_) make_room();
     if (sessions_.size() <= most_clients_) accept();  // else once one has ended
   });
 }
 
+void Frontend::admit(tcp::socket socket) {
+  const auto session = std::make_shared<Session>(*this, ++last_, std::move(socket));
+  sessions_.emplace(last_, session);
+  session->read();
+}
+
 // For a new client, of the connections without a request under way: one that never sent a byte, else the one
 // that has been quiet for longest.
 void Frontend::make_room() {
@@ -622,16 +626,25 @@
 }
 
 void Frontend::stop_accepting() {
-  error_code ignored;
+  error_code ec, ignored;
+  // Danger: the kernel has taken clients that we have not; a close would reset them with their requests
+  // unread.
+  acceptor_.non_blocking(true, ec);
+  while (!ec) {
+    tcp::socket socket(io_);
+    acceptor_.accept(socket, ec);
+    if (!ec) admit(std::move(socket));
+  }
   acceptor_.close(ignored);
   const auto sessions = sessions_;
   for (const auto& [client, s] : sessions) s->close_between();
 }
 
 bool Frontend::quiet() const {
+  // Danger: an answer is the client's only once that has taken it; our end would reset what is on its way.
   return std::all_of(sessions_.begin(), sessions_.end(), [](const auto& entry) {
-    const auto state = entry.second->state();
-    return state == Session::State::kBetween ? entry.second->served() : state == Session::State::kClosing;
+    const Session& s = *entry.second;
+    return s.state() == Session::State::kBetween && s.served() && !s.unread();
   });
 }
 
--- a/src/net/frontend.hpp
+++ b/src/net/frontend.hpp
@@ -66,6 +66,7 @@
  private:
   class Session;
   void accept();
+  void admit(boost::asio::ip::tcp::socket socket);
   void make_room();
   std::shared_ptr<Session> find(std::uint64_t client) const;
   void erase(std::uint64_t client);
--- /dev/null
+++ b/tests/net/ending_test.cpp
@@ -0,0 +1,163 @@
+// Instants at which something is still owed: a drain, an exit, a signal while starting, a fault in mid-batch.
+#include <sys/ioctl.h>
+#include <sys/stat.h>
+
+#include <iostream>
+
+#include "process.hpp"
+
+namespace cottonroad::net::testing {
+namespace {
+
+// The clients' side alone; each request is served at once.
+class FrontendTest : public ::testing::Test {
+ protected:
+  FrontendTest() {
+    ClassSettings read;
+    read.name = "profile-read";
+    read.repeat = Repeat::kSafe;
+    settings.classes = {read};
+    front.listen({asio::ip::address_v4::loopback(), 0}, std::nullopt);
+  }
+  asio::io_context io;
+  Clock clock;
+  Timers timers{io, clock};
+  Settings settings;
+  BodyBudget budget{1 << 20};
+  Frontend front{io,
+                 timers,
+                 clock,
+                 settings,
+                 100,
+                 budget,
+                 {[this](std::uint64_t client, ClientRequest) {
+                    asio::post(io, [this, client] { front.answer(client, {200, 0, "x"}); });
+                    return std::uint64_t(1);
+                  },
+                  [](std::uint64_t) {}, [](std::uint64_t) {}, [](std::uint64_t) {}}};
+};
+
+TEST_F(FrontendTest, AClientBetweenRequestsWithOneUnreadIsOwedAnAnswer) {
+  Client c(io, front.address());
+  c.send(get("a"));
+  ASSERT_TRUE(c.receive());
+  EXPECT_TRUE(front.quiet());
+  c.send(get("b"));  // no turn of the loop between this and the look
+  EXPECT_FALSE(front.quiet());
+  front.drain();
+  EXPECT_FALSE(front.quiet());
+  EXPECT_TRUE(c.receive());
+}
+
+TEST_F(FrontendTest, WhatTheKernelHasAcceptedIsAnsweredAfterTheLastAccept) {
+  std::deque<Client> clients;
+  for (int i = 0; i < 5; ++i) {
+    clients.emplace_back(io, front.address());
+    clients.back().send(get("a"));
+  }
+  front.drain();
+  front.stop_accepting();  // none has been accepted by us
+  for (Client& c : clients) EXPECT_TRUE(c.receive());
+}
+
+TEST(Ending, AnAnswerIsOwedUntilItsClientHasTakenIt) {
+  Rig rig;
+  FakeServer s1(rig.io);
+  std::shared_ptr<Peer> held;
+  s1.on_request = [&](Peer& p, const Request_&) { held = p.shared_from_this(); };
+  rig.know(member("s1", s1));
+  Driver& driver = rig.start();
+  std::optional<Client> c(rig.client());
+  c->send(post("a"));
+  ASSERT_TRUE(rig.until([&] { return held != nullptr; }));
+  bool done = false;
+  driver.drain([&] { done = true; });
+  wait(rig.io, 1100);  // new ones are let in for 1 s
+  held->write(reply("200 OK", "", "held"));
+  ASSERT_TRUE(rig.until([&] { return c->socket.available() > 0; }));
+  wait(rig.io, 100);
+  EXPECT_FALSE(done);
+  EXPECT_TRUE(c->receive());
+  c.reset();
+  EXPECT_TRUE(rig.until([&] { return done; }));
+}
+
+TEST(Ending, OneTimerThatFailsLeavesTheOthersOfItsInstant) {
+  asio::io_context io;
+  Clock clock;
+  Timers timers(io, clock);
+  int fired = 0;
+  const Micros at = clock.now() + 1000;
+  timers.at(at, [] { throw std::runtime_error("first"); });
+  for (int i = 0; i < 3; ++i) timers.at(at, [&] { ++fired; });
+  EXPECT_THROW(until(io, [&] { return fired == 3; }), std::runtime_error);
+  EXPECT_TRUE(until(io, [&] { return fired == 3; }));
+}
+
+TEST(Ending, OneActionThatFailsLeavesTheOthersOfItsBatch) {
+  Rig rig;
+  rig.start();  // knows no server; a log line, which fails here, comes before the timer that ends the wait
+  Client c = rig.client();
+  struct Broken : std::streambuf {
+  } broken;  // takes nothing
+  const auto kept = std::cerr.rdbuf(&broken);
+  std::cerr.exceptions(std::ios::badbit);
+  c.send(get("a"));
+  const auto answer = c.receive();
+  std::cerr.exceptions(std::ios::goodbit);
+  std::cerr.rdbuf(kept);
+  std::cerr.clear();
+  ASSERT_TRUE(answer);
+  EXPECT_EQ(answer->result_int(),
+            429u);  // refused once it had waited; nothing but the backstop ends it with 502
+}
+
+TEST(Ending, ATerminationWhileStartingIsHeeded) {
+  // Guards against a process ended by the signal with clients in its socket: it is held half way through its
+  // configuration here.
+  asio::io_context io;
+  FakeServer server(io);
+  FakeDiscovery discovery(io);
+  char dir[] = "/tmp/kelpford-test-XXXXXX";
+  ASSERT_NE(::mkdtemp(dir), nullptr);
+  const std::string fifo = std::string(dir) + "/config", text = config(free_port(io), server, discovery);
+  ASSERT_EQ(::mkfifo(fifo.c_str(), 0600), 0);
+  const int file = ::open(fifo.c_str(), O_RDWR | O_CLOEXEC);
+  Process p(Process::From{fifo});
+  ASSERT_EQ(::write(file, text.data(), 10), 10);
+  int unread = 1;
+  ASSERT_TRUE(until(io, [&] { return ::ioctl(file, FIONREAD, &unread) == 0 && unread == 0; }));
+  p.terminate();
+  EXPECT_EQ(::write(file, text.data() + 10, text.size() - 10), ssize_t(text.size() - 10));
+  ASSERT_TRUE(until(io, [&] { return ::ioctl(file, FIONREAD, &unread) == 0 && unread == 0; }));
+  ::close(file);
+  EXPECT_EQ(p.exit_code(), 0);
+  ::unlink(fifo.c_str());
+  ::rmdir(dir);
+}
+
+TEST(Ending, AKeyedRequestIsNotRepeatedWhereALateConnectionWouldCarryItPastItsWindow) {
+  Rig rig;
+  FakeServer s1(rig.io), s2(rig.io);
+  asio::steady_timer timer(rig.io);
+  int seen = 0;
+  s1.on_request = s2.on_request = [&](Peer& p, const Request_&) {
+    if (++seen > 1) return p.write(reply("200 OK", "", "x"));
+    timer.expires_after(std::chrono::milliseconds(450));
+    timer.async_wait([peer = p.shared_from_this()](error_code) { peer->reset(); });
+  };
+  rig.config.settings.dial_timeout = 250'000;
+  rig.config.settings.classes[1].dedup_window = 600'000;
+  rig.know(member("s1", s1));
+  rig.know(member("s2", s2));
+  rig.start();
+  Client c = rig.client();
+  c.send(post("a"));
+  const auto answer = c.receive();
+  ASSERT_TRUE(answer);
+  EXPECT_EQ(answer->result_int(), 502u);
+  EXPECT_EQ(seen, 1);
+}
+
+}  // namespace
+}  // namespace cottonroad::net::testing
--- a/tests/net/process.hpp
+++ b/tests/net/process.hpp
@@ -17,12 +17,22 @@
 class Process {
  public:
   // `listener`, if any, is what the platform hands down as descriptor 5.
+  struct From {
+    std::string path;  // of a configuration that is the test's own
+  };
+  explicit Process(const From& from) {
+    path_ = from.path;
+    start(-1, "");
+  }
   explicit Process(const std::string& config, int listener = -1, const std::string& shared = "") {
     char name[] = "/tmp/kelpford-test-XXXXXX";
     const int file = ::mkstemp(name);
     path_ = name;
     EXPECT_EQ(::write(file, config.data(), config.size()), ssize_t(config.size()));
     ::close(file);
+    start(listener, shared);
+  }
+  void start(int listener, const std::string& shared) {
     int ends[2];
     EXPECT_EQ(::pipe(ends), 0);
     pid_ = ::fork();
@@ -30,7 +40,7 @@
       ::dup2(ends[1], STDERR_FILENO);
       ::close(ends[0]);
       ::close(ends[1]);
-      ::setenv("RELAY_CONFIG", name, 1);
+      ::setenv("RELAY_CONFIG", path_.c_str(), 1);
       ::setenv("TMPDIR", shared.c_str(), 1);
       if (listener >= 0) {
         ::dup2(listener, 5);
