--- a/tests/net/ending_test.cpp
+++ b/tests/net/ending_test.cpp
@@ -24,17 +24,14 @@
   Timers timers{io, clock};
   Settings settings;
   BodyBudget budget{1 << 20};
-  Frontend front{io,
-                 timers,
-                 clock,
-                 settings,
-                 100,
-                 budget,
-                 {[this](std::uint64_t client, ClientRequest) {
-                    asio::post(io, [this, client] { front.answer(client, {200, 0, "x"}); });
-                    return std::uint64_t(1);
-                  },
-                  [](std::uint64_t) {}, [](std::uint64_t) {}, [](std::uint64_t) {}}};
+  Frontend::Calls calls(Frontend& of) {
+    return {[this, &of](std::uint64_t client, ClientRequest) {
+              asio::post(io, [&of, client] { of.answer(client, {200, 0, "x"}); });
+              return std::uint64_t(1);
+            },
+            [](std::uint64_t) {}, [](std::uint64_t) {}, [](std::uint64_t) {}};
+  }
+  Frontend front{io, timers, clock, settings, 100, budget, calls(front)};
 };
 
 TEST_F(FrontendTest, AClientBetweenRequestsWithOneUnreadIsOwedAnAnswer) {
@@ -60,6 +57,45 @@
   for (Client& c : clients) EXPECT_TRUE(c.receive());
 }
 
+TEST_F(FrontendTest, AClientWithARequestUnreadMakesNoRoomForAnother) {
+  Frontend small{io, timers, clock, settings, 2, budget, calls(small)};
+  small.listen({asio::ip::address_v4::loopback(), 0}, std::nullopt);
+  Client first(io, small.address()), second(io, small.address());
+  for (Client* c : {&first, &second}) {
+    c->send(get("a"));
+    ASSERT_TRUE(c->receive());
+  }
+  Client third(io, small.address());  // the line has it, and its request is read in the turn that takes it
+  first.send(get("b"));               // the longest quiet one would go first
+  EXPECT_TRUE(first.receive());
+  third.send(get("c"));
+  EXPECT_TRUE(third.receive());
+  EXPECT_TRUE(second.ended());
+}
+
+TEST(Ending, ATerminationRightBehindAHangupFinishesWhatIsHeld) {
+  asio::io_context io;
+  FakeServer server(io);
+  FakeDiscovery before(io), after(io);
+  std::shared_ptr<Peer> held;
+  server.on_request = [&](Peer& p, const Request_&) { held = p.shared_from_this(); };
+  const auto port = free_port(io);
+  Process p(config(port, server, before));
+  ASSERT_NE(p.log_until("ready").find("ready"), std::string::npos);
+  Client c(io, {asio::ip::address_v4::loopback(), port});
+  c.send(get("a"));
+  ASSERT_TRUE(until(io, [&] { return held != nullptr; }));
+  p.reconfigure(config(port, server, after));
+  p.terminate();
+  ASSERT_NE(p.log_until("draining").find("draining"), std::string::npos);
+  held->write(reply("200 OK", "", "held"));
+  const auto answer = c.receive();
+  ASSERT_TRUE(answer);
+  EXPECT_EQ(answer->body(), "held");
+  EXPECT_TRUE(c.ended());
+  EXPECT_EQ(p.exit_code(), 0);
+}
+
 TEST(Ending, AnAnswerIsOwedUntilItsClientHasTakenIt) {
   Rig rig;
   FakeServer s1(rig.io);
