End an answer without a length only at an orderly close, never at a reset

At fault: Upstream::broke gave the parser the end of the stream whatever the error was. And Upstream::flush could be told of a reset first; the kernel tells it once, and the read that follows looks like a close.

Tests: held and passed on, closed and reset; a reset that a write is told of first; clients of HTTP/1.1 and 1.0. All seen failing without the mend.

--- a/src/net/upstream.cpp
+++ b/src/net/upstream.cpp
@@ -109,6 +109,7 @@
   bool last = false;    // `out` ends with the attempt's last byte
   bool begun = false;   // its answer goes on to the client as it comes
   bool paused = false;  // until the client has taken what there was
+  bool reset = false;   // by its server, as a write was told
   Micros heard = 0;
   Micros idle_since = 0;
 };
@@ -302,6 +303,7 @@
       ec ? end(c, {Outcome::kConnectFailed, {}, {}}, false) : flush(c);  // its last byte never left
     };
     if (ec == asio::error::would_block) return c->socket.async_wait(tcp::socket::wait_write, go_on);
+    c->reset = ec == asio::error::connection_reset;  // told once; what is read after it looks like a close
     return asio::post(io_, [go_on, ec] { go_on(ec); });
   }
   if (!c->last) return pump(c);
@@ -343,7 +345,7 @@
     std::size_t size = 0;
     if (!ec) size = c->socket.read_some(asio::buffer(chunk_), ec);
     if (ec == asio::error::would_block) return read(c);
-    if (ec) return broke(c);
+    if (ec) return broke(c, ec);
     took(c, size);
     if (c->state != Connection::State::kClosed) read(c);
   });
@@ -422,9 +424,10 @@
   end(c, std::move(result), keep);
 }
 
-void Upstream::broke(const Held& c) {
-  error_code ec;
-  if (c->parser->got_some() && c->parser->is_header_done() && c->parser->need_eof()) {
+// Danger: only an orderly close is the end of an answer without a length; a reset has cut it short.
+void Upstream::broke(const Held& c, error_code ec) {
+  const bool orderly = ec == asio::error::eof && !c->reset;
+  if (orderly && c->parser->got_some() && c->parser->is_header_done() && c->parser->need_eof()) {
     c->parser->put_eof(ec);
     if (!ec && c->parser->is_done()) return answered(c);
   }
--- a/src/net/upstream.hpp
+++ b/src/net/upstream.hpp
@@ -95,7 +95,7 @@
   void took(const Held& connection, std::size_t size);
   bool passes_on(const Held& connection);
   void answered(const Held& connection);
-  void broke(const Held& connection);
+  void broke(const Held& connection, boost::system::error_code ec);
   void end(const Held& connection, AttemptResult result, bool keep);
   void forget_idle(Connection& connection);
   void drop_idle(Pool& pool);
--- a/tests/net/body_test.cpp
+++ b/tests/net/body_test.cpp
@@ -82,6 +82,30 @@
   EXPECT_EQ(s1.requests.size() + s2.requests.size(), 1u);
 }
 
+TEST_F(BodyTest, AnAnswerWithoutALengthEndsForTheClientAsItsServerEndedIt) {
+  // A client of HTTP/1.0 knows such an answer's end by the close alone, so one that is cut must be reset.
+  const std::string body = text(100'000);
+  std::shared_ptr<Peer> peer;
+  s1.on_request = [&](Peer& p, const Request_&) {
+    peer = p.shared_from_this();
+    write_all(p, "HTTP/1.1 200 OK\r\n\r\n" + body);
+  };
+  rig.start();
+  for (const std::string version : {"1.1", "1.0"})
+    for (const bool orderly : {true, false}) {
+      SCOPED_TRACE(version + (orderly ? " closed" : " reset"));
+      Client c = rig.client();
+      std::string request = get("a");
+      request.replace(request.find("HTTP/1.1") + 5, 3, version);
+      c.send(request);
+      ASSERT_TRUE(rig.until([&] { return c.socket.available() > body.size(); }));
+      orderly ? peer->close() : peer->reset();
+      const auto answer = c.receive();
+      ASSERT_EQ(answer.has_value(), orderly);
+      if (orderly) EXPECT_TRUE(answer->body() == body);
+    }
+}
+
 TEST_F(BodyTest, AClientThatLeavesAnAnswerEndsItsAttempt) {
   s1.on_request = [&](Peer& p, const Request_&) {
     p.write("HTTP/1.1 200 OK\r\nContent-Length: 900000\r\n\r\n" + text(100'000));
--- a/tests/net/upstream_test.cpp
+++ b/tests/net/upstream_test.cpp
@@ -156,6 +156,63 @@
   EXPECT_EQ(outcome_of("HTTP/1.1 200 OK\r\nContent-Length: 10\r\n\r\nhalf", true), Outcome::kReset);
 }
 
+TEST_F(UpstreamTest, AnAnswerWithoutALengthIsWholeOnlyAtAnOrderlyClose) {
+  // Guards against half an answer served as the whole, held or already passed on.
+  const std::string head = "HTTP/1.1 200 OK\r\n\r\n";
+  for (const std::string& body : {std::string("held"), std::string(100'000, 'x')})
+    for (const bool orderly : {true, false}) {
+      SCOPED_TRACE(::testing::Message() << body.size() << (orderly ? " closed" : " reset"));
+      std::shared_ptr<Peer> peer;
+      bool sent = false;
+      server.on_request = [&](Peer& p, const Request_&) {
+        peer = p.shared_from_this();
+        asio::async_write(p.socket, asio::buffer(head), [&](error_code, std::size_t) {
+          asio::async_write(peer->socket, asio::buffer(body), [&](error_code, std::size_t) { sent = true; });
+        });
+      };
+      passed.clear();
+      make();
+      send(1);
+      // All of it has been read before the connection ends.
+      ASSERT_TRUE(until(io, [&] { return sent && (body.size() < kWhole || passed == body); }));
+      wait(io, 1);
+      const auto before = results.size();
+      orderly ? peer->close() : peer->reset();
+      ASSERT_TRUE(until(io, [&] { return results.size() > before; }));
+      EXPECT_EQ(results.back().second.outcome, orderly ? Outcome::kOk : Outcome::kReset);
+      EXPECT_EQ(results.back().second.body, orderly && body.size() < kWhole ? body : "");
+    }
+}
+
+TEST_F(UpstreamTest, AResetThatAWriteIsToldOfFirstIsNoEndOfAnAnswerWithoutALength) {
+  // The kernel tells of a reset once: what is read after the write that failed looks like an orderly close.
+  // Both are ready in one turn of the loop here, the body that is to be written first.
+  tcp::acceptor acceptor(io, {asio::ip::address_v4::loopback(), 0});
+  tcp::socket peer(io), trigger(io), other(io);
+  acceptor.async_accept(peer, [](error_code) {});
+  outgoing.upload = std::make_shared<Upload>(10);
+  bool wanted = false;
+  outgoing.upload->wanted = [&] { wanted = true; };
+  make();
+  list.members[0].address = acceptor.local_endpoint();
+  upstream->update(list);
+  send(1);
+  ASSERT_TRUE(until(io, [&] { return wanted && peer.is_open(); }));
+  acceptor.async_accept(other, [](error_code) {});
+  trigger.connect(acceptor.local_endpoint());
+  ASSERT_TRUE(until(io, [&] { return other.is_open(); }));
+  asio::write(peer, asio::buffer(std::string_view("HTTP/1.1 200 OK\r\n\r\nhalf")));
+  trigger.async_wait(tcp::socket::wait_read, [&](error_code) { outgoing.upload->put("0123456789"); });
+  while (io.poll() > 0) io.restart();
+  io.restart();
+  asio::write(other, asio::buffer(std::string_view("x")));
+  peer.set_option(asio::socket_base::linger(true, 0));
+  peer.close();
+  ASSERT_TRUE(until(io, [&] { return results.size() == 1; }));
+  EXPECT_EQ(results[0].second.outcome, Outcome::kConnectFailed);
+  EXPECT_EQ(results[0].second.body, "");
+}
+
 TEST_F(UpstreamTest, ALyingServerEndsAsAFailedAttempt) {
   EXPECT_EQ(outcome_of("\x01\x02 nonsense\r\n\r\n"), Outcome::kReset);
   EXPECT_EQ(outcome_of("HTTP/1.1 200 OK\r\nContent-Length: 999999999\r\n\r\n"), Outcome::kReset);
