Reset a client of HTTP/1.0 whose answer without a length our own end cuts short

Read in the code: such a client knows the end by the close alone, and the kernel closes a killed process's connections in order. Ruled out: the cut after a server's reset (it resets, by test). At fault: Session::begin, which left the socket's close orderly while the answer was under way. Its test (a process killed in mid-answer) was seen failing without the mend.

--- a/src/net/frontend.cpp
+++ b/src/net/frontend.cpp
@@ -166,6 +166,8 @@
     framing_ = length ? Framing::kLength : version_ >= 11 ? Framing::kChunked : Framing::kClose;
     passing_ = true;
     last_ = closes() || framing_ == Framing::kClose;
+    // Danger: whatever ends us in the middle of it, such a client would take its part for the whole.
+    if (framing_ == Framing::kClose) reset_on_close(true);
     out_ = "HTTP/1.1 200 OK";
     if (length) out_ += "\r\nContent-Length: " + std::to_string(*length);
     if (framing_ == Framing::kChunked) out_ += "\r\nTransfer-Encoding: chunked";
@@ -195,8 +197,7 @@
   }
   // With a reset, which no client takes for the end of an answer.
   void cut() {
-    error_code ignored;
-    socket_.set_option(asio::socket_base::linger(true, 0), ignored);
+    reset_on_close(true);
     close();
   }
 
@@ -247,6 +248,10 @@
  private:
   enum class Framing { kLength, kChunked, kClose };
 
+  void reset_on_close(bool on) {
+    error_code ignored;
+    socket_.set_option(asio::socket_base::linger(on, 0), ignored);
+  }
   bool reads() const {
     if (state_ == State::kClosed || upload_full()) return false;
     if (state_ != State::kHeld && pending_.size() > kMostAhead) return false;
@@ -475,6 +480,7 @@
       // Danger: a close with input unread resets the connection and may take the answer with it.
       error_code ignored;
       socket_.shutdown(tcp::socket::shutdown_send, ignored);
+      reset_on_close(false);
       pending_.clear();
       enter(State::kClosing);
     } else {
--- a/tests/net/ending_test.cpp
+++ b/tests/net/ending_test.cpp
@@ -96,6 +96,28 @@
   EXPECT_EQ(p.exit_code(), 0);
 }
 
+TEST(Ending, AProcessKilledInMidAnswerLeavesNoClientTheBeliefThatItHasTheWhole) {
+  // A client of HTTP/1.0 takes an orderly close for the end of an answer without a length.
+  asio::io_context io;
+  FakeServer server(io);
+  FakeDiscovery discovery(io);
+  server.on_request = [](Peer& p, const Request_&) {
+    const auto all = std::make_shared<std::string>("HTTP/1.1 200 OK\r\n\r\n" + std::string(100'000, 'x'));
+    asio::async_write(p.socket, asio::buffer(*all),
+                      [all, self = p.shared_from_this()](error_code, std::size_t) {});
+  };
+  const auto port = free_port(io);
+  Process p(config(port, server, discovery));
+  ASSERT_NE(p.log_until("ready").find("ready"), std::string::npos);
+  Client c(io, {asio::ip::address_v4::loopback(), port});
+  std::string request = get("a");
+  request.replace(request.find("HTTP/1.1") + 5, 3, "1.0");
+  c.send(request);
+  ASSERT_TRUE(until(io, [&] { return c.socket.available() > 100'000; }));
+  p.kill();
+  EXPECT_FALSE(c.receive());
+}
+
 TEST(Ending, AnAnswerIsOwedUntilItsClientHasTakenIt) {
   Rig rig;
   FakeServer s1(rig.io);
