Cut an answer whose server fell silent within half a second of its time

Read in the code: Driver::expire returned once an answer had begun, so that only kStall, 10 s without a byte, ended it; half a second past its time a request is lost. Ruled out: answers still held (they end at the deadline).

Past the deadline an answer is cut once nothing of it has come for 0.4 s: with the 20 ms by which our deadline is early, 0.38 s after the client's time. One that still gives is left alone, as is one that its client takes slowly. kStall goes.

The driver's clock is handed in, so that tests move it. Test: four ways of telling an answer's end, seen failing without the mend; one that gives a byte every 0.3 s passes.

--- a/src/net/driver.cpp
+++ b/src/net/driver.cpp
@@ -14,8 +14,10 @@
 
 // The client's time runs from its send; the answer has a way to go too.
 constexpr Micros kEarly = 20'000;
-constexpr double kEarlyShare = 0.1;      // of the client's patience, at the most
-constexpr Micros kBackstop = 10'000;     // us past our deadline, before the client's: the module said nothing
+constexpr double kEarlyShare = 0.1;   // of the client's patience, at the most
+constexpr Micros kBackstop = 10'000;  // us past our deadline, before the client's: the module said nothing
+// us without a byte of an answer that is past its deadline; it is lost half a second after its client's time.
+constexpr Micros kSilent = 400'000;
 constexpr Micros kHandOver = 1'000'000;  // us; clients go on connecting for up to 0.4 s after SIGTERM
 constexpr Micros kLookDrained = 20'000;
 // SIGKILL follows SIGTERM after the longest deadline, counted as so much at the most, and so much more.
@@ -36,9 +38,10 @@
 
 }  // namespace
 
-Driver::Driver(asio::io_context& io, const Config& config)
+Driver::Driver(asio::io_context& io, const Config& config, const Clock& clock)
     : io_(io),
       settings_(config.settings),
+      clock_(clock),
       timers_(io, clock_),
       gateway_(config.settings, config.seed),
       metrics_(settings_),
@@ -170,6 +173,8 @@
   Request& r = it->second;
   Attempt& a = r.attempts.at(std::size_t(key.attempt));
   r.answered = r.begun = true;
+  // An answer may begin before all of the request has come. What is still to come of that is not awaited.
+  if (r.outgoing.upload && !r.outgoing.upload->finished()) start_clock(key.request, r);
   push(StreamStarted{std::to_string(key.request), key.attempt, a.server, clock_.now() - a.sent, head.billed,
                      head.load});
   frontend_.begin(r.client, length);
@@ -220,8 +225,13 @@
 
 void Driver::expire(AttemptKey key) {
   const auto it = requests_.find(key.request);
-  if (it == requests_.end() || !it->second.attempts.at(std::size_t(key.attempt)).out || it->second.begun)
-    return;
+  if (it == requests_.end() || !it->second.attempts.at(std::size_t(key.attempt)).out) return;
+  // Danger: one that still gives must not be cut off, nor its client left waiting for one that has fallen
+  // silent.
+  if (it->second.begun) {
+    const Micros until = std::max(it->second.deadline, upstream_.heard(key)) + kSilent;
+    if (clock_.now() < until) return timers_.at(until, [this, key] { expire(key); });
+  }
   const bool written = upstream_.abandon(key);
   ended(key, {written ? Outcome::kTimeout : Outcome::kConnectFailed, {}, {}});
 }
--- a/src/net/driver.hpp
+++ b/src/net/driver.hpp
@@ -39,7 +39,7 @@
 
 class Driver {
  public:
-  Driver(boost::asio::io_context& io, const Config& config);
+  Driver(boost::asio::io_context& io, const Config& config, const Clock& clock);
 
   boost::asio::ip::tcp::endpoint address() const { return frontend_.address(); }
   boost::asio::ip::tcp::endpoint admin_address() const { return admin_->address(); }
@@ -103,7 +103,7 @@
 
   boost::asio::io_context& io_;
   const Settings settings_;
-  Clock clock_;
+  const Clock& clock_;
   Timers timers_;
   Gateway gateway_;
   Requests requests_;
--- a/src/net/main.cpp
+++ b/src/net/main.cpp
@@ -63,7 +63,8 @@
     boost::asio::signal_set signals(io, SIGTERM, SIGINT), hangup(io, SIGHUP);
     auto config = read_config();
     config.listener = cottonroad::net::inherited_listener();
-    cottonroad::net::Driver driver(io, config);
+    const cottonroad::net::Clock clock;
+    cottonroad::net::Driver driver(io, config, clock);
     signals.async_wait([&](const boost::system::error_code& ec, int) {
       if (ec) return;
       std::cerr << config.name << ": draining\n";
--- a/src/net/upstream.cpp
+++ b/src/net/upstream.cpp
@@ -27,7 +27,6 @@
 constexpr Micros kSettle = 20'000;  // us; a second answer may come some milliseconds after the first
 constexpr Micros kSweep = 500'000;
 constexpr std::uint32_t kMostHeader = 16 << 10;
-constexpr Micros kStall = 10'000'000;  // us in which an answer that has begun must go on
 
 // "TEXT inflight=7, queue=2, util=0.61"; what is not understood counts as not said.
 LoadReport parse_load(std::string_view text) {
@@ -415,6 +414,14 @@
   read(c);
 }
 
+Micros Upstream::heard(AttemptKey key) const {
+  const auto it = attempts_.find(key);
+  if (it == attempts_.end()) return 0;
+  const Connection& c = *it->second;
+  error_code ec;
+  return c.paused || c.socket.available(ec) > 0 ? clock_.now() : c.heard;
+}
+
 void Upstream::answered(const Held& c) {
   AttemptResult result = result_of(c->parser->get());
   if (result.outcome == Outcome::kOk) result.body = std::move(c->body);
@@ -475,10 +482,6 @@
 
 void Upstream::sweep() {
   const Micros now = clock_.now();
-  std::vector<Held> stalled;
-  for (const auto& [key, c] : attempts_)
-    if (c->begun && !c->paused && now - c->heard > kStall) stalled.push_back(c);
-  for (const Held& c : stalled) end(c, {Outcome::kReset, {}, {}}, false);
   for (auto& [id, pool] : pools_)
     while (!pool.idle.empty() &&
            double(now - pool.idle.front()->idle_since) >= kIdleShare * double(limits_.idle))
--- a/src/net/upstream.hpp
+++ b/src/net/upstream.hpp
@@ -74,6 +74,8 @@
   bool withdraw(AttemptKey key);
   // The client has taken what there was of an answer that has begun.
   void more(AttemptKey key);
+  // When its server last gave something of it; now, while that is not asked for more or more lies unread.
+  Micros heard(AttemptKey key) const;
 
  private:
   class Connection;
--- a/tests/net/body_test.cpp
+++ b/tests/net/body_test.cpp
@@ -106,6 +106,62 @@
     }
 }
 
+// The client's version, and what the answer says of its length.
+class SilentAnswerTest : public BodyTest,
+                         public ::testing::WithParamInterface<std::tuple<const char*, const char*>> {};
+
+TEST_P(SilentAnswerTest, IsCutWithinHalfASecondOfItsTime) {
+  // Guards against a client that waits ten seconds past its time, whatever tells it the end of the answer.
+  const auto [version, length] = GetParam();
+  const std::string body = text(100'000);
+  std::shared_ptr<Peer> peer;
+  s1.on_request = [&, length = length](Peer& p, const Request_&) {
+    peer = p.shared_from_this();
+    write_all(p, std::string("HTTP/1.1 200 OK\r\n") + length + "\r\n" + body);
+  };
+  rig.start();
+  rig.clock.stop();
+  Client c = rig.client();
+  std::string request = get("a");  // the client waits for 4 s
+  request.replace(request.find("HTTP/1.1") + 5, 3, version);
+  c.send(request);
+  ASSERT_TRUE(rig.until([&] { return c.socket.available() > body.size(); }));
+  wait(rig.io, 1);
+  rig.clock.move(3'900'000);
+  wait(rig.io, 250);  // timers have had their turn
+  EXPECT_FALSE(peer->over);
+  rig.clock.move(590'000);
+  EXPECT_FALSE(c.receive());
+  EXPECT_TRUE(rig.until([&] { return peer->over; }));
+}
+INSTANTIATE_TEST_SUITE_P(Answers, SilentAnswerTest,
+                         ::testing::Combine(::testing::Values("1.1", "1.0"),
+                                            ::testing::Values("Content-Length: 900000\r\n", "")));
+
+TEST_F(BodyTest, AnAnswerThatIsStillGivenIsNotCutPastItsTime) {
+  const std::string body = text(100'000);
+  std::shared_ptr<Peer> peer;
+  s1.on_request = [&](Peer& p, const Request_&) {
+    peer = p.shared_from_this();
+    write_all(p, "HTTP/1.1 200 OK\r\nContent-Length: 100030\r\n\r\n" + body);
+  };
+  rig.start();
+  rig.clock.stop();
+  Client c = rig.client();
+  c.send(get("a"));
+  ASSERT_TRUE(rig.until([&] { return c.socket.available() > body.size(); }));
+  for (int i = 0; i < 30; ++i) {
+    rig.clock.move(300'000);  // 9 s in all, of the 4 s that the client waits
+    const auto had = c.socket.available();
+    peer->write("x");
+    ASSERT_TRUE(rig.until([&] { return c.socket.available() > had || peer->over; }));
+    ASSERT_FALSE(peer->over) << i;
+  }
+  const auto answer = c.receive();
+  ASSERT_TRUE(answer);
+  EXPECT_TRUE(answer->body() == body + std::string(30, 'x'));
+}
+
 TEST_F(BodyTest, AClientThatLeavesAnAnswerEndsItsAttempt) {
   s1.on_request = [&](Peer& p, const Request_&) {
     p.write("HTTP/1.1 200 OK\r\nContent-Length: 900000\r\n\r\n" + text(100'000));
--- a/tests/net/loopback.hpp
+++ b/tests/net/loopback.hpp
@@ -319,11 +319,12 @@
     config.known.revision = 41;
   }
   void know(const Member& m) { config.known.members.push_back(m); }
-  Driver& start() { return driver.emplace(io, config); }
+  Driver& start() { return driver.emplace(io, config, clock); }
   Client client() { return {io, driver->address()}; }
   bool until(const std::function<bool()>& done) { return testing::until(io, done); }
 
   asio::io_context io;
+  TestClock clock;
   FakeDiscovery discovery;
   Config config;
   std::optional<Driver> driver;
