Shut a client's connection down before its close, and keep what it has yet to take

Read in the code: Session::leave, Frontend::make_room and close_if_slow looked for bytes unread and then closed. A request that crosses the close resets the connection, and what of the answer before lies in our kernel goes along; so did a last answer that its client took longer than 1 s (kLinger) to take. Ruled out, by test: that a request which comes after the shutdown is sent on (none is read), and that a request unread before the look is left (it is answered as before).

Tests, each seen failing without the mend: a drain that a request crosses, a last answer taken slowly, an eviction of a client with an answer not all taken.

--- a/src/net/frontend.cpp
+++ b/src/net/frontend.cpp
@@ -1,6 +1,8 @@
 #include "frontend.hpp"
 
+#include <linux/sockios.h>
 #include <poll.h>
+#include <sys/ioctl.h>
 
 #include <algorithm>
 #include <array>
@@ -37,7 +39,7 @@
                                           << 10;  // bytes; reading all that strangers send costs others time
 constexpr Micros kLookBehind = 10'000;            // us between looks at a client that is not read
 constexpr std::size_t kClientBuffer = 4 << 20;    // bytes of a body that a client's kernel may hold for it
-constexpr int kMakeRoomTries = 4;                 // a look at what is unread is a call into the kernel
+constexpr int kMakeRoomTries = 4;                 // each look asks the kernel
 constexpr Micros kSweep = 200'000;
 constexpr Micros kLongestPatience = 3600'000'000;
 
@@ -214,16 +216,18 @@
   // Between requests, with none there unread.
   void leave() {
     error_code ec;
-    if (state_ == State::kBetween && socket_.available(ec) == 0) close();
+    if (state_ == State::kBetween && socket_.available(ec) == 0) end();
   }
   void close_between() {
     if (served_) leave();
   }
   // What has no request under way may go for one that has; what never sent a byte goes first.
   bool may_go() const { return state_ == State::kBetween || state_ == State::kReading; }
-  bool unread() const {
+  // Danger: a close over bytes unread, or with more to come, is a reset, and takes along what of an answer
+  // the client's kernel has not taken.
+  bool unsettled() {
     error_code ec;
-    return socket_.available(ec) > 0;
+    return socket_.available(ec) > 0 || untaken();
   }
   std::pair<bool, Micros> worth() const { return {served_ || state_ == State::kReading, touched_}; }
 
@@ -234,14 +238,15 @@
     if (state_ == State::kWriting && now - progress_ > kSlowClient) return cut();
     // One that writes a large body to its end before it reads our answer has the time for it.
     const bool sends = discards_ && served_ && now - touched_ <= kLinger && stood <= kSlowClient;
-    if (state_ == State::kClosing && stood > kLinger && !sends) return close();
+    if (state_ == State::kClosing && stood > kLinger && !sends && (stood > kSlowClient || !untaken()))
+      return close();
     error_code ec;
     // Danger: a gateway that stood still finds requests unread that came in time; what is there is read
     // first.
     if (served_
             ? receiving && stood > kSlowClient + body
             : (receiving || state_ == State::kBetween) && now - awaited_since_ > kStranger + held_up_ + body)
-      if (socket_.available(ec) == 0) close();
+      if (socket_.available(ec) == 0) served_&& state_ == State::kReading ? end() : close();
   }
   void close() {
     if (state_ == State::kClosed) return;
@@ -258,6 +263,17 @@
  private:
   enum class Framing { kLength, kChunked, kClose };
 
+  bool untaken() {
+    int bytes = 0;
+    return ::ioctl(socket_.native_handle(), SIOCOUTQ, &bytes) == 0 && bytes > 0;
+  }
+  // Nothing more is answered. What still comes is read and thrown away until the client closes its side.
+  void end() {
+    error_code ignored;
+    socket_.shutdown(tcp::socket::shutdown_send, ignored);
+    pending_.clear();
+    enter(State::kClosing);
+  }
   void reset_on_close(bool on) {
     error_code ignored;
     socket_.set_option(asio::socket_base::linger(on, 0), ignored);
@@ -505,12 +521,8 @@
     awaited_since_ = front_.clock_.now();
     share_.set(0);
     if (last_) {
-      // Danger: a close with input unread resets the connection and may take the answer with it.
-      error_code ignored;
-      socket_.shutdown(tcp::socket::shutdown_send, ignored);
       reset_on_close(false);
-      pending_.clear();
-      enter(State::kClosing);
+      end();
     } else {
       enter(State::kBetween);
       parse();
@@ -598,14 +610,14 @@
 // For a new client, of the connections without a request under way: one that never sent a byte, else the one
 // that has been quiet for longest.
 void Frontend::make_room() {
-  std::pair<bool, Micros> passed{false, 0};  // of those that have something unread, as few are
+  std::pair<bool, Micros> passed{false, 0};  // of those that are unsettled, as few are
   for (int tries = 0; tries < kMakeRoomTries; ++tries) {
     std::shared_ptr<Session> least;
     for (const auto& [client, s] : sessions_)
       if (client != last_ && s->may_go() && s->worth() > passed && (!least || s->worth() < least->worth()))
         least = s;
     if (!least) return;
-    if (!least->unread()) return least->close();
+    if (!least->unsettled()) return least->close();
     passed = least->worth();
   }
 }
@@ -679,8 +691,8 @@
 bool Frontend::quiet() const {
   // Danger: an answer is the client's only once that has taken it; our end would reset what is on its way.
   return std::all_of(sessions_.begin(), sessions_.end(), [](const auto& entry) {
-    const Session& s = *entry.second;
-    return s.state() == Session::State::kBetween && s.served() && !s.unread();
+    Session& s = *entry.second;
+    return s.state() == Session::State::kBetween && s.served() && !s.unsettled();
   });
 }
 
--- a/tests/net/ending_test.cpp
+++ b/tests/net/ending_test.cpp
@@ -20,13 +20,16 @@
     front.listen({asio::ip::address_v4::loopback(), 0}, std::nullopt);
   }
   asio::io_context io;
-  Clock clock;
+  TestClock clock;
   Timers timers{io, clock};
   Settings settings;
+  std::string body = "x";  // of each answer
+  int taken = 0;           // requests
   BodyBudget budget{1 << 20};
   Frontend::Calls calls(Frontend& of) {
     return {[this, &of](std::uint64_t client, ClientRequest) {
-              asio::post(io, [&of, client] { of.answer(client, {200, 0, "x"}); });
+              ++taken;
+              asio::post(io, [this, &of, client] { of.answer(client, {200, 0, body}); });
               return std::uint64_t(1);
             },
             [](std::uint64_t, Micros) {}, [](std::uint64_t, Micros) {}, [](std::uint64_t) {},
@@ -58,6 +61,66 @@
   for (Client& c : clients) EXPECT_TRUE(c.receive());
 }
 
+TEST_F(FrontendTest, WhatComesAsAConnectionIsLeftIsNotReadAndTakesNoAnswerAlong) {
+  // Guards against a close that bytes cross: it resets the connection, with what the client has yet to take.
+  body.assign(400'000, 'x');
+  Client c(io, front.address());
+  c.send(get("a"));
+  ASSERT_TRUE(until(io, [&] { return taken == 1 && c.socket.available() > 0; }));
+  wait(io, 20);  // all of it is the kernel's now, and a part of that the client's
+  front.drain();
+  c.send(get("b"));  // it has not seen yet that no more is answered
+  wait(io, 20);
+  const auto answer = c.receive();
+  ASSERT_TRUE(answer);
+  EXPECT_TRUE(answer->body() == body);
+  std::optional<error_code> ended;
+  char byte;
+  c.socket.async_read_some(asio::buffer(&byte, 1), [&](error_code ec, std::size_t) { ended = ec; });
+  ASSERT_TRUE(until(io, [&] { return ended.has_value(); }));
+  EXPECT_EQ(*ended, asio::error::eof);
+  EXPECT_EQ(taken, 1);
+}
+
+TEST_F(FrontendTest, ALastAnswerThatItsClientTakesSlowlyIsNotTakenAwayByWhatTheClientSends) {
+  body.assign(400'000, 'x');
+  front.drain();
+  Client c(io, front.address());
+  c.send(get("a"));
+  ASSERT_TRUE(until(io, [&] { return taken == 1 && c.socket.available() > 0; }));
+  wait(io, 20);
+  clock.move(3'000'000);
+  wait(io, 250);  // a sweep has passed
+  c.send(get("b"));
+  wait(io, 20);
+  const auto answer = c.receive();
+  ASSERT_TRUE(answer);
+  EXPECT_TRUE(answer->body() == body);
+  EXPECT_EQ(taken, 1);
+}
+
+TEST_F(FrontendTest, AClientWhoseAnswerIsNotAllTakenMakesNoRoomForAnother) {
+  Frontend small{io, timers, clock, settings, 2, budget, calls(small)};
+  small.listen({asio::ip::address_v4::loopback(), 0}, std::nullopt);
+  Client first(io, small.address()), second(io, small.address());
+  body.assign(400'000, 'x');
+  first.send(get("a"));
+  ASSERT_TRUE(until(io, [&] { return first.socket.available() > 0; }));
+  wait(io, 20);
+  body = "x";
+  second.send(get("a"));
+  ASSERT_TRUE(second.receive());
+  Client third(io, small.address());
+  third.send(get("c"));  // the longest quiet one would go first
+  EXPECT_TRUE(third.receive());
+  first.send(get("b"));
+  wait(io, 20);
+  const auto answer = first.receive();
+  ASSERT_TRUE(answer);
+  EXPECT_EQ(answer->body().size(), 400'000u);
+  EXPECT_TRUE(second.ended());
+}
+
 TEST_F(FrontendTest, AClientWithARequestUnreadMakesNoRoomForAnother) {
   Frontend small{io, timers, clock, settings, 2, budget, calls(small)};
   small.listen({asio::ip::address_v4::loopback(), 0}, std::nullopt);
