Find a watch that stalls before its first line in time to ask once more

Read in the code: Discovery::read took the first byte of an answer for the begin of the watch, so that one which stalled behind a silent watch was given up only after another kQuiet, 9 s after the silence began; with a grace over 1 s each call that failed took up to 1 s, and 1 s until the next. And watch_quiet counted a call's time from before its connect, so that a process that had stood still gave up a good one.

Ruled out by tests that held before: refusals, 503s and spoilt lines with a grace of 250 and 500 ms, also over a move to another address.

Constants: kMostAtOnce (0.25 s in place of 1 s) since the agent is on our own machine and answers at once (protocol); kFirstLine bounds an answer that drips. Tests: 42 combinations of failures, graces and a move, 30 of them seen failing without the mend; one for a process that stood still, seen failing too.

--- a/src/net/discovery.cpp
+++ b/src/net/discovery.cpp
@@ -22,6 +22,8 @@
 constexpr Micros kQuiet = 4'500'000;
 constexpr Micros kGraceParts =
     4;  // of the grace after news counts as told; one to ask again, one for the answer
+// us; a few calls that fail on the way still leave time to know the news. The agent is on our own machine.
+constexpr Micros kMostAtOnce = 250'000, kFirstLine = 1'000'000;
 constexpr Micros kFirstBackoff = 100'000, kMostBackoff = 1'000'000;
 constexpr std::size_t kMostPending = 4 << 20;  // of one line
 constexpr Micros kLogEvery = 10'000'000;
@@ -77,7 +79,7 @@
       clock_(clock),
       agent_(std::move(agent)),
       revision_(revision),
-      at_once_(drain_grace > 0 ? std::min(drain_grace / kGraceParts, kMostBackoff) : kMostBackoff),
+      at_once_(drain_grace > 0 ? std::min(drain_grace / kGraceParts, kMostAtOnce) : kMostAtOnce),
       told_(std::move(told)),
       socket_(io) {}
 
@@ -90,18 +92,18 @@
   lost("moved");
 }
 
-// Danger: a watch can break without a word, and a connect can hang. The agent answers at once, and sends at
-// least an empty line every 2 s.
+// Danger: a watch can break without a word, a connect can hang, and an answer can stall. The agent answers at
+// once, with a line, and sends at least an empty one every 2 s.
 void Discovery::watch_quiet(int life) {
   if (life != life_) return;
-  const Micros until = heard_ + (answered_ ? kQuiet : at_once_);
+  const Micros until = answered_ ? heard_ + kQuiet : std::min(heard_ + at_once_, began_ + kFirstLine);
   if (clock_.now() >= until) return lost("quiet");
   timers_.at(until, [this, life] { watch_quiet(life); });
 }
 
 void Discovery::connect() {
   const int life = ++life_;
-  heard_ = clock_.now();
+  heard_ = began_ = clock_.now();
   pending_.clear();
   lines_.clear();
   object_.clear();
@@ -113,6 +115,8 @@
   socket_ = tcp::socket(io_);
   socket_.async_connect(agent_, [this, life](error_code ec) {
     if (life != life_) return;
+    // Danger: we may have stood still; the agent's time to answer begins only now.
+    heard_ = began_ = clock_.now();
     ec ? lost(ec.message()) : request(life);
   });
   watch_quiet(life);
@@ -132,8 +136,8 @@
   socket_.async_read_some(asio::buffer(chunk_), [this, life](error_code ec, std::size_t size) {
     if (life != life_) return;
     if (ec) return lost(ec.message());
-    // Danger: bytes that end no line are no heartbeat.
-    if (!std::exchange(answered_, true)) heard_ = clock_.now();
+    // Danger: bytes that end no line are no heartbeat, nor is an answer that has begun a watch.
+    if (!answered_) heard_ = clock_.now();
     try {
       took(size);
     } catch (const std::exception& e) {
@@ -175,6 +179,7 @@
   if (!blank) object_ += text;
   if (!blank && !ends_object(text)) return;  // indented, it goes on in the next line
   backoff_ = 0;
+  answered_ = true;
   heard_ = clock_.now();
   if (blank) return;  // a heartbeat
   const MemberList list = parse_members(nlohmann::json::parse(std::exchange(object_, {})));
--- a/src/net/discovery.hpp
+++ b/src/net/discovery.hpp
@@ -58,7 +58,7 @@
   const Micros at_once_;  // in which the agent is asked again, and answers
   bool whole_ = false;    // ask for the whole list next
   bool turned_away_ = false;
-  bool answered_ = false;  // the watch has begun
+  bool answered_ = false;  // with the watch's first line
   Told told_;
   boost::asio::ip::tcp::socket socket_;
   std::optional<Parser> parser_;
@@ -67,7 +67,7 @@
   int depth_ = 0;  // of what came of an object
   bool quoted_ = false, escaped_ = false;
   int life_ = 0;  // of the connection; handlers of earlier ones mean nothing
-  Micros heard_ = 0;
+  Micros began_ = 0, heard_ = 0;
   Micros backoff_ = 0;
   Micros logged_ = 0;
 };
--- a/tests/net/discovery_test.cpp
+++ b/tests/net/discovery_test.cpp
@@ -112,6 +112,82 @@
   EXPECT_GE(back.asked.size(), 1u);
 }
 
+TEST_F(DiscoveryTest, AnAgentIsLeftItsTimeToAnswerWhereWeStoodStill) {
+  // Guards against a good call given up: the connect's news and the end of its time come in one turn.
+  timers.after(0, [] {});  // so that the timers look at the clock at once
+  clock.move(3'000'000);
+  wait(io, 50);
+  EXPECT_EQ(fake.peers.size(), 1u);
+  EXPECT_EQ(fake.asked.size(), 1u);
+}
+
+// What the calls after a watch that falls silent meet, before one that is answered well.
+class NewsTest : public ::testing::TestWithParam<std::tuple<Micros, std::vector<std::string>>> {
+ protected:
+  // Moves the clock on in steps until it is `until`, or there is news; true if there is.
+  bool told_by(Micros until) {
+    timers.after(1'000, [] {});  // so that the timers look at the clock soon
+    clock.move(std::max<Micros>(0, until - clock.now() - 1'600'000));
+    wait(io, 3);
+    while (told.empty() && clock.now() < until) {
+      timers.after(1'000, [] {});
+      clock.move(20'000);
+      wait(io, 3);
+    }
+    return !told.empty();
+  }
+  asio::io_context io;
+  TestClock clock;
+  Timers timers{io, clock};
+  FakeDiscovery fake{io}, other{io};
+  std::vector<MemberList> told;
+};
+const std::string kSilent;
+const std::string kHeadAlone = FakeDiscovery::kHead;
+const std::string kStalled = kHeadAlone + FakeDiscovery::chunk(list(45, true, "").substr(0, 20));
+const std::string kTurnedAway = reply("503 No");
+const std::string kSpoilt = kHeadAlone + FakeDiscovery::chunk("{\"revision\":\"x\"}\n");
+
+TEST_P(NewsTest, IsKnownSixSecondsAfterTheWatchFellSilentWhateverFailsBefore) {
+  const auto& [grace, failures] = GetParam();
+  Discovery discovery(io, timers, clock, fake.address(), 41, grace,
+                      [this](const MemberList& l) { told.push_back(l); });
+  discovery.start();
+  ASSERT_TRUE(until(io, [&] { return fake.asked.size() == 1; }));
+  wait(io, 20);
+  clock.stop();
+  fake.first = list(45, true, "");
+  fake.instead.assign(failures.begin(), failures.end());
+  EXPECT_TRUE(told_by(clock.now() + 6'000'000)) << fake.asked.size() << " calls";
+}
+
+TEST_P(NewsTest, IsKnownInTimeOverAMoveAmidFailures) {
+  const auto& [grace, failures] = GetParam();
+  Discovery discovery(io, timers, clock, fake.address(), 41, grace,
+                      [this](const MemberList& l) { told.push_back(l); });
+  discovery.start();
+  ASSERT_TRUE(until(io, [&] { return fake.asked.size() == 1; }));
+  wait(io, 20);
+  clock.stop();
+  fake.mute = true;
+  other.first = list(45, true, "");
+  other.instead.assign(failures.begin(), failures.end());
+  const Micros silent = clock.now();
+  EXPECT_FALSE(told_by(silent + 4'700'000));
+  discovery.move(other.address());
+  EXPECT_TRUE(told_by(silent + 6'000'000)) << other.asked.size() << " calls";
+}
+INSTANTIATE_TEST_SUITE_P(
+    Failures, NewsTest,
+    ::testing::Combine(::testing::Values(250'000, 500'000, 8'000'000),
+                       ::testing::Values(std::vector<std::string>{kSilent, kSilent},
+                                         std::vector<std::string>{kHeadAlone},
+                                         std::vector<std::string>{kStalled},
+                                         std::vector<std::string>{kTurnedAway, kTurnedAway},
+                                         std::vector<std::string>{kSpoilt, kSpoilt},
+                                         std::vector<std::string>{kStalled, kTurnedAway, kSpoilt},
+                                         std::vector<std::string>{kSilent, kSpoilt, kStalled})));
+
 TEST_F(DiscoveryTest, AListMayComeIndented) {
   const auto text = list(44, true, entry("s\\\"{", "127.0.0.1:9"));
   fake.first = nlohmann::json::parse(text).dump(1) + "\n\n" + list(45, false, "");
--- a/tests/net/loopback.hpp
+++ b/tests/net/loopback.hpp
@@ -205,6 +205,8 @@
       : Listener(io, at) {}
   std::vector<std::string> asked;  // targets
   std::string first = "\n";        // what a watch begins with
+  std::deque<std::string> instead;  // raw, the answers to the next calls
+  static constexpr const char* kHead = "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n";
   bool mute = false;
   void raw(const std::string& bytes) { peers.back()->write(bytes); }
   void tell(const std::string& text) { raw(chunk(text)); }
@@ -220,7 +222,9 @@
     asked.push_back(pending.substr(4, pending.find(" HTTP/") - 4));
     pending.clear();
     if (mute) return;
-    peer.write("HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n" + chunk(first));
+    if (instead.empty()) return peer.write(kHead + chunk(first));
+    peer.write(instead.front());
+    instead.pop_front();
   }
 };
 
