Test the cold budget over thirty gateways, starts, idle crowds and a client between attempts

These held before: no program text changes. A start with 400 servers beside a discovery and a counter that are silent, full, refusing or turn calls away. Idle clients at their limit while discovery is away (by the program's own counts, not by the kernel's limit).

--- a/tests/gateway_test.cpp
+++ b/tests/gateway_test.cpp
@@ -3,8 +3,11 @@
 
 #include <gtest/gtest.h>
 
+#include <algorithm>
+#include <cmath>
 #include <map>
 #include <optional>
+#include <random>
 #include <set>
 
 namespace cottonroad {
@@ -1133,6 +1136,85 @@
   EXPECT_LT(part, 1.5);
 }
 
+// Thirty gateways with traffic of one to some ten requests a second each, six warm servers and two that start
+// cold; two in three gateways start anew right after that and know of no load yet; one attempt in four is
+// turned away and tried again, of those at warm servers the given share from then on. The most that a cold
+// server got in a window, against what it may get from all together, its budget being reckoned from what a
+// warm one bears.
+double most_at_a_cold_server(std::uint64_t seed, Micros restart, double turned_away) {
+  constexpr int kGateways = 30, kWarm = 6;
+  constexpr Micros kJoin = 8 * kS, kEnd = 20 * kS;
+  Settings s = basic_settings();
+  s.gateways = kGateways;
+  s.plans[0].rate = s.plans[0].burst = 1e6;
+  s.cold_share = 0.21;
+  s.cold_time = 18 * kS;
+  s.cold_multiple = 3;
+  s.cold_window = 2 * kS;
+  std::vector<ServerEntry> fresh = Driver::up({"new1", "new2"});
+  for (ServerEntry& e : fresh) e.started_at = kJoin;
+  std::vector<ServerEntry> old = Driver::up({"old1", "old2", "old3", "old4", "old5", "old6"}), all_of = old;
+  all_of.insert(all_of.end(), fresh.begin(), fresh.end());
+  std::mt19937_64 random(seed);
+  std::uniform_real_distribution<double> chance(0, 1);
+  std::map<std::string, std::vector<Micros>> to_cold;
+  int to_warm = 0;
+  for (int g = 0; g < kGateways; ++g) {
+    s.position = g;
+    const double rate = std::exp(2.3 * chance(random));
+    std::optional<Driver> d;
+    d.emplace(s, old, seed * 1000 + std::uint64_t(g));
+    bool joined = false, anew = false;
+    for (Micros now = kS; now < kEnd; now += Micros(-std::log(1 - chance(random)) / rate * double(kS))) {
+      if (now >= kJoin && !std::exchange(joined, true)) {
+        ServerListUpdate list;
+        list.kind = ServerListUpdate::Kind::kPartial;
+        list.entries = fresh;
+        d->step(now, {list});
+      }
+      if (g % 3 && now >= kJoin + restart && !std::exchange(anew, true))
+        d.emplace(s, all_of, seed * 1000 + 500 + std::uint64_t(g));
+      auto out = d->run(now);
+      auto more = d->arrive(now, label("r", now));
+      out.insert(out.end(), more.begin(), more.end());
+      std::map<std::string, int> attempts;
+      for (std::size_t i = 0; i < out.size(); ++i) {
+        const auto* const found = std::get_if<SendAttempt>(&out[i]);
+        if (!found) continue;
+        const SendAttempt a = *found;
+        if (a.server[0] == 'n') to_cold[a.server].push_back(now);
+        to_warm += a.server[0] == 'o' && now < kJoin;
+        const double share = a.server[0] == 'o' && now >= kJoin ? turned_away : 0.25;
+        const Outcome o = chance(random) < share ? Outcome::kFull : Outcome::kOk;
+        auto next = d->end(now + 100 * kMs, a, o, attempts[a.id]++, 100 * kMs);
+        out.insert(out.end(), next.begin(), next.end());
+      }
+    }
+  }
+  const double bears = double(to_warm) / kWarm / (double(kJoin - kS) / kS);  // a second
+  double worst = 0;
+  for (auto& [server, sends] : to_cold) {
+    std::sort(sends.begin(), sends.end());
+    for (std::size_t i = 0, first = 0; i < sends.size(); ++i) {
+      while (sends[i] - sends[first] >= s.cold_window) ++first;
+      const double warmth = 0.21 + 0.79 * double(sends[first] - kJoin) / double(s.cold_time);
+      const double n = s.cold_multiple * warmth * bears * double(s.cold_window) / kS;
+      worst = std::max(worst, double(i - first + 1) / (n + 2 * std::sqrt(n) + 2));
+    }
+  }
+  return worst;
+}
+
+TEST(Servers, AFleetSendsAColdServerNoMoreThanItsBudgetAlsoWhileGatewaysStartAnew) {
+  for (std::uint64_t seed = 1; seed <= 5; ++seed)
+    for (const Micros restart : {300 * kMs, 2 * kS})
+      for (const double turned_away : {0.25, 0.9}) {
+        const double worst = most_at_a_cold_server(seed, restart, turned_away);
+        EXPECT_LE(worst, 1) << seed << " " << restart << " " << turned_away;
+        EXPECT_GT(worst, 0.2) << seed << " " << restart << " " << turned_away;  // and it is not left alone
+      }
+}
+
 TEST(Servers, OnesOwnPauseIsNotReadAsSlowServers) {
   Settings s = basic_settings();
   s.plans[0].rate = s.plans[0].burst = 1e6;
--- a/tests/net/body_test.cpp
+++ b/tests/net/body_test.cpp
@@ -335,6 +335,34 @@
   EXPECT_TRUE(*sent);  // the end of the connection, and not of what it had to say
 }
 
+TEST_F(BodyTest, IdleClientsThatFillTheDescriptorsHinderNothingWhileDiscoveryIsDown) {
+  // Guards against a discovery, counter or server that cannot be reached for want of a descriptor.
+  FakeCounter counter(rig.io);
+  rig.config.settings.has_counter = true;
+  rig.config.settings.counter_timeout = 1'000'000;
+  rig.config.counter = counter.address();
+  rig.config.sockets = 64;
+  rig.start();
+  ASSERT_TRUE(rig.until([&] { return rig.discovery.asked.size() == 1; }));
+  const auto at = rig.discovery.address();
+  rig.discovery.stop();
+  std::deque<Client> idle;
+  for (int i = 0; i < 200; ++i) idle.emplace_back(rig.io, rig.driver->address());
+  EXPECT_TRUE(idle.front().ended());  // all that clients may take is taken
+  Client c = rig.client();
+  c.send(get("a"));
+  EXPECT_EQ(status(c), 200);
+  EXPECT_FALSE(counter.calls.empty());
+  FakeServer s2(rig.io);
+  FakeDiscovery back(rig.io, at);
+  back.first = list(42, true, entry("s2", s2.text()));
+  ASSERT_TRUE(rig.until([&] { return back.asked.size() == 1; }));
+  wait(rig.io, 20);
+  c.send(get("b"));
+  EXPECT_EQ(status(c), 200);
+  EXPECT_EQ(s2.requests.size(), 1u);
+}
+
 TEST_F(BodyTest, ACrowdThatAsksForNothingKeepsNobodyOut) {
   rig.config.sockets = 64;
   rig.start();
--- a/tests/net/gone_test.cpp
+++ b/tests/net/gone_test.cpp
@@ -105,6 +105,29 @@
 
 TEST_P(GoneTest, WhileAConnectionCameUpLate) { leaves_while_a_connection_comes_up(post("left")); }
 
+TEST_P(GoneTest, BetweenTwoAttempts) {
+  FakeServer busy(rig.io);
+  busy.on_request = [](Peer& p, const Request_&) { p.write(reply("503 No", "X-Never-Ran: 1\r\n")); };
+  rig.know(member("s0", busy));
+  rig.config.settings.max_attempts = 2;
+  rig.start();
+  Client stays = rig.client();
+  {
+    Client c = rig.client();
+    c.send(get("left"));
+    ASSERT_TRUE(rig.until([&] { return busy.requests.size() == 1; }));
+    stays.send(get("stays"));
+    ASSERT_TRUE(rig.until([&] { return busy.requests.size() == 2; }));
+    wait(rig.io, 5);
+  }
+  wait(rig.io, kAfter);
+  rig.discovery.tell(list(42, true, entry("s1", s1.text())));
+  ASSERT_TRUE(stays.receive());
+  EXPECT_EQ(busy.requests.size(), 2u);
+  ASSERT_EQ(s1.requests.size(), 1u);
+  EXPECT_EQ(s1.requests[0]["X-Trace-Id"], "stays");
+}
+
 TEST_P(GoneTest, BehindABodyThatNoServerTakesYet) {
   // Guards against a client that goes unseen, as the end of its large body was left unread.
   rig.start();  // knows no server
--- a/tests/net/process_test.cpp
+++ b/tests/net/process_test.cpp
@@ -99,6 +99,47 @@
 #endif
 }
 
+TEST(Process, IsReadyWithHundredsOfServersWhateverItsDiscoveryAndCounterDo) {
+  // Silent, full, refusing, and turning away; 10 s are owed, of which nothing is waited for.
+  asio::io_context io;
+  FakeServer server(io);
+  FakeDiscovery silent(io), turns_away(io), refuses(io);
+  FakeCounter counter(io);
+  silent.mute = true;
+  turns_away.instead.assign(100, reply("503 No"));
+  tcp::acceptor full(io, {asio::ip::address_v4::loopback(), 0}, true);
+  full.listen(0);
+  tcp::socket filler(io);
+  filler.connect(full.local_endpoint());
+  const std::string refusing = refuses.text();
+  refuses.stop();
+  std::string servers = entry("s1", server.text());
+  for (int i = 2; i <= 400; ++i) servers += "," + entry("s" + std::to_string(i), server.text());
+  const std::string hangs = "127.0.0.1:" + std::to_string(full.local_endpoint().port());
+  for (const std::string& discovery : {silent.text(), turns_away.text(), refusing, hangs})
+    for (const std::string& at : {refusing, hangs}) {
+      SCOPED_TRACE(discovery + " " + at);
+      const auto port = free_port(io);
+      std::string text = config(port, server, silent, R"("counter":")" + at + R"(",)");
+      text.replace(text.find(silent.text()), silent.text().size(), discovery);
+      const std::string one = entry("s1", server.text());
+      text.replace(text.find(one), one.size(), servers);
+      const auto began = std::chrono::steady_clock::now();
+      Process p(text);
+      ASSERT_NE(p.log_until("ready").find("ready"), std::string::npos);
+      Client c(io, {asio::ip::address_v4::loopback(), port});
+      c.send("GET /_health HTTP/1.1\r\nHost: a\r\n\r\n");
+      const auto health = c.receive();
+      ASSERT_TRUE(health);
+      EXPECT_EQ(health->result_int(), 200u);
+      c.send(get("a"));
+      const auto answer = c.receive();
+      ASSERT_TRUE(answer);
+      EXPECT_EQ(answer->result_int(), 200u);
+      EXPECT_LT(std::chrono::steady_clock::now() - began, std::chrono::seconds(10));
+    }
+}
+
 TEST(Process, TwoProcessesTakeClientsFromOneInheritedSocketAndTheOldOneLeavesNoneUnread) {
   asio::io_context io;
   FakeServer server(io);
