Let connections that have their last answer make room for clients in the line

Read in the code: Session::may_go left out State::kClosing, and Frontend::accept paused until a connection ended. Strangers that do not close after their error, as many as clients may be, kept requests that the kernel had taken waiting for up to kLinger, 1 s. Ruled out: idle connections and half requests, which made room before (tests). Test seen failing without the mend.

--- a/src/net/frontend.cpp
+++ b/src/net/frontend.cpp
@@ -41,6 +41,7 @@
 constexpr std::size_t kClientBuffer = 4 << 20;    // bytes of a body that a client's kernel may hold for it
 constexpr int kMakeRoomTries = 4;                 // each look asks the kernel
 constexpr Micros kSweep = 200'000;
+constexpr Micros kAcceptAgain = 20'000;
 constexpr Micros kLongestPatience = 3600'000'000;
 
 // What a client sent that is no request of ours; answered 400.
@@ -221,15 +222,21 @@
   void close_between() {
     if (served_) leave();
   }
-  // What has no request under way may go for one that has; what never sent a byte goes first.
-  bool may_go() const { return state_ == State::kBetween || state_ == State::kReading; }
+  // What has no request under way may go for one that has; what never sent a byte, or has its last answer,
+  // goes first. One that still writes a large body has yet to read its answer.
+  bool may_go() const {
+    return state_ == State::kBetween || state_ == State::kReading ||
+           (state_ == State::kClosing && !(discards_ && served_));
+  }
   // Danger: a close over bytes unread, or with more to come, is a reset, and takes along what of an answer
   // the client's kernel has not taken.
   bool unsettled() {
     error_code ec;
-    return socket_.available(ec) > 0 || untaken();
+    return untaken() || (state_ != State::kClosing && socket_.available(ec) > 0);
+  }
+  std::pair<bool, Micros> worth() const {
+    return {state_ == State::kReading || (served_ && state_ != State::kClosing), touched_};
   }
-  std::pair<bool, Micros> worth() const { return {served_ || state_ == State::kReading, touched_}; }
 
   void close_if_slow(Micros now) {
     const Micros stood = now - since_;
@@ -591,13 +598,22 @@
     if (ec == asio::error::operation_aborted) return accept();  // unless it is the successor's turn
     if (ec) {                                                   // most likely out of descriptors
       make_room();
-      if (acceptor_.is_open()) timers_.after(20'000, [this] { accept(); });
+      if (acceptor_.is_open()) timers_.after(kAcceptAgain, [this] { accept(); });
       return;
     }
     // Danger: the acceptor may have been closed since; what was accepted before must still be read.
     admit(std::move(socket));
-    if (sessions_.size() > most_clients_) make_room();
-    if (sessions_.size() <= most_clients_) accept();  // else once one has ended
+    accept_on();
+  });
+}
+
+// Danger: what waits in the kernel's line is taken, and its time runs.
+void Frontend::accept_on() {
+  if (sessions_.size() > most_clients_) make_room();
+  if (sessions_.size() <= most_clients_) return accept();
+  // Once one has ended, or may go.
+  timers_.after(kAcceptAgain, [this] {
+    if (!accepting_ && acceptor_.is_open()) accept_on();
   });
 }
 
--- a/src/net/frontend.hpp
+++ b/src/net/frontend.hpp
@@ -69,6 +69,7 @@
  private:
   class Session;
   void accept();
+  void accept_on();
   void admit(boost::asio::ip::tcp::socket socket);
   void make_room();
   std::shared_ptr<Session> find(std::uint64_t client) const;
--- a/tests/net/ending_test.cpp
+++ b/tests/net/ending_test.cpp
@@ -121,6 +121,27 @@
   EXPECT_TRUE(second.ended());
 }
 
+TEST_F(FrontendTest, ThoseThatHaveTheirLastAnswerKeepNoClientWaiting) {
+  // Guards against requests that wait in the line, their time running, behind strangers that do not close.
+  Frontend small{io, timers, clock, settings, 2, budget, calls(small)};
+  small.listen({asio::ip::address_v4::loopback(), 0}, std::nullopt);
+  clock.stop();
+  std::deque<Client> strangers;
+  for (int i = 0; i < 3; ++i) {
+    strangers.emplace_back(io, small.address());
+    strangers.back().send("nonsense\r\n\r\n");
+    ASSERT_TRUE(strangers.back().receive());
+  }
+  Client c(io, small.address());
+  c.send(get("a"));
+  for (int i = 0; i < 25 && taken == 0; ++i) {  // half of the second that they may linger
+    timers.after(1'000, [] {});
+    clock.move(20'000);
+    wait(io, 10);
+  }
+  EXPECT_EQ(taken, 1);
+}
+
 TEST_F(FrontendTest, AClientWithARequestUnreadMakesNoRoomForAnother) {
   Frontend small{io, timers, clock, settings, 2, budget, calls(small)};
   small.listen({asio::ip::address_v4::loopback(), 0}, std::nullopt);
