--- a/src/net/frontend.cpp
+++ b/src/net/frontend.cpp
@@ -233,7 +233,7 @@
   // the client's kernel has not taken.
   bool unsettled() {
     error_code ec;
-    return untaken() || (state_ != State::kClosing && socket_.available(ec) > 0);
+    return unacknowledged() || (state_ != State::kClosing && socket_.available(ec) > 0);
   }
   std::pair<bool, Micros> worth() const {
     return {state_ == State::kReading || (served_ && state_ != State::kClosing), touched_};
@@ -246,7 +246,7 @@
     if (state_ == State::kWriting && now - progress_ > kSlowClient) return cut();
     // One that writes a large body to its end before it reads our answer has the time for it.
     const bool sends = discards_ && served_ && now - touched_ <= kLinger && stood <= kSlowClient;
-    if (state_ == State::kClosing && stood > kLinger && !sends && (stood > kSlowClient || !untaken()))
+    if (state_ == State::kClosing && stood > kLinger && !sends && (stood > kSlowClient || !unacknowledged()))
       return close();
     error_code ec;
     // Danger: a gateway that stood still finds requests unread that came in time; what is there is read
@@ -271,7 +271,7 @@
  private:
   enum class Framing { kLength, kChunked, kClose };
 
-  bool untaken() {
+  bool unacknowledged() {
     int bytes = 0;
     return ::ioctl(socket_.native_handle(), SIOCOUTQ, &bytes) == 0 && bytes > 0;
   }
@@ -613,7 +613,7 @@
   });
 }
 
-// Danger: what waits in the kernel's line is taken, and its time runs.
+// Danger: what waits in the backlog is taken, and its time runs.
 void Frontend::accept_on() {
   if (sessions_.size() > most_clients_) make_room();
   if (sessions_.size() <= most_clients_) return accept();
--- a/tests/net/ending_test.cpp
+++ b/tests/net/ending_test.cpp
@@ -122,7 +122,7 @@
 }
 
 TEST_F(FrontendTest, ThoseThatHaveTheirLastAnswerKeepNoClientWaiting) {
-  // Guards against requests that wait in the line, their time running, behind strangers that do not close.
+  // Guards against requests that wait in the backlog, their time running, behind strangers that do not close.
   Frontend small{io, timers, clock, settings, 2, budget, calls(small)};
   small.listen({asio::ip::address_v4::loopback(), 0}, std::nullopt);
   clock.stop();
