--- a/src/brain.cpp
+++ b/src/brain.cpp
@@ -18,9 +18,9 @@
 namespace {
 
 // ---- Tuned values -------------------------------------------------------------------------------------
-constexpr double kSecond = 1e6;           // microseconds
-constexpr Micros kPeriod = 1'000'000;     // us; the design's "about a second" between re-splits
-constexpr double kMaxHorizon = 5;         // s; longest smoothing of demand, even for a deep burst
+constexpr double kSecond = 1e6;        // microseconds
+constexpr Micros kPeriod = 1'000'000;  // us; the design's "about a second" between re-splits
+constexpr double kMaxHorizon = 5;      // s; longest smoothing of demand, even for a deep burst
 constexpr double kEpoch = 10;  // memories of demand that a counter name serves; amounts grow by e in each
 constexpr Micros kNameLife = 60'000'000;  // us; the counter's most
 constexpr Micros kKnownFor = 64'000'000;  // us; a customer or a total older than this is forgotten
@@ -39,9 +39,9 @@
 constexpr double kSlowCut = 0.8;       // of the pace, after one turned away, or past half of that time
 constexpr int kDrain = 8;  // time-outs between cuts: a line of three, the longest, drains at half the pace
 constexpr double kMostMissing = 0.75;  // part of the others' demand that may be taken for not yet counted
-constexpr double kMissingGain = 0.3;  // a period; smoothing of that part
-constexpr int kDownAfter = 6;  // failed calls in a row: down; nobody waits for it
-constexpr int kDraws = 2;      // servers compared for an attempt, and our part of them
+constexpr double kMissingGain = 0.3;   // a period; smoothing of that part
+constexpr int kDownAfter = 6;          // failed calls in a row: down; nobody waits for it
+constexpr int kDraws = 2;              // servers compared for an attempt, and our part of them
 constexpr Micros kLinked = 5'000'000;  // us for which a connection to a server is taken to stay open
 constexpr double kLinkBias = 1.5;      // a server without one must look so much better
 constexpr int kUnseenDraws = 10;       // more compared where no reports lead many gateways to the same server
@@ -403,7 +403,7 @@
   Micros cut_at_ = 0;     // the pace; 0: never
   Micros calls_at_ = 0;
   Micros born_ = 0;
-  int in_a_row_ = 0;  // failed calls
+  int in_a_row_ = 0;                               // failed calls
   std::map<const PlanSettings*, double> missing_;  // part of the demand met here that no call has carried yet
   std::map<std::string, Customer> customers_;
   std::unordered_map<std::int64_t, std::pair<std::string, double>>
--- a/tests/net/loopback.hpp
+++ b/tests/net/loopback.hpp
@@ -203,8 +203,8 @@
  public:
   explicit FakeDiscovery(asio::io_context& io, tcp::endpoint at = {asio::ip::address_v4::loopback(), 0})
       : Listener(io, at) {}
-  std::vector<std::string> asked;  // targets
-  std::string first = "\n";        // what a watch begins with
+  std::vector<std::string> asked;   // targets
+  std::string first = "\n";         // what a watch begins with
   std::deque<std::string> instead;  // raw, the answers to the next calls
   static constexpr const char* kHead = "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n";
   bool mute = false;
