Show stopped clients, interrupted calls and a failed bind by tests that fail

tests/net/faults.cpp is preloaded into the gateway process of a test and has its system calls fail as Linux documents, transfer a part only, or step the wall clock. Seen on the present code: a client that stops amid its request is closed after 10.0 to 12.0 s (3 s are owed), the process does not start where three binds fail, nor where calls fail at random.

--- /dev/null
+++ b/tests/net/fault_test.cpp
@@ -0,0 +1,100 @@
+// The program itself while system calls fail as Linux documents, and clients that stop amid a request.
+#include "process.hpp"
+
+namespace cottonroad::net::testing {
+namespace {
+
+using SteadyClock = std::chrono::steady_clock;
+
+class FaultTest : public ::testing::Test {
+ protected:
+  // Starts the gateway, whose system calls fail so, and waits until it serves.
+  Process& start(const std::string& faults = "") {
+    process.emplace(config(port, server, discovery), -1, "", faults);
+    EXPECT_NE(process->log_until("ready").find("ready"), std::string::npos);
+    return *process;
+  }
+  Client client() { return {io, {asio::ip::address_v4::loopback(), port}}; }
+  void expect_served(const std::string& id) {
+    Client c = client();
+    c.send(get(id));
+    const auto answer = c.receive();
+    ASSERT_TRUE(answer) << id;
+    EXPECT_EQ(answer->result_int(), 200u) << id;
+  }
+  // Seconds until the client has an answer or the end of its connection.
+  double seconds_until_over(Client& c) {
+    const auto began = SteadyClock::now();
+    std::optional<error_code> done;
+    c.socket.async_wait(tcp::socket::wait_read, [&](error_code ec) { done = ec; });
+    EXPECT_TRUE(until(io, [&] { return done.has_value(); }));
+    return std::chrono::duration<double>(SteadyClock::now() - began).count();
+  }
+  static std::string large_post(std::size_t size) {
+    return "GET /profile-read/00000000b4d65521 HTTP/1.1\r\nHost: origin.svc\r\nX-Trace-Id: large\r\n"
+           "Plan: plan-group\r\nX-Expires-In: 4000m\r\nContent-Length: " +
+           std::to_string(size) + "\r\nQuota-Info: units=1,spread=3,first=0\r\n\r\n";
+  }
+  asio::io_context io;
+  FakeServer server{io};
+  FakeDiscovery discovery{io};
+  std::uint16_t port = free_port(io);
+  std::optional<Process> process;
+};
+
+TEST_F(FaultTest, AClientThatStopsAmidItsRequestHasAnErrorOrACloseWithinThreeSeconds) {
+  constexpr double kOwed = 3;
+  start();
+  Client head = client(), body = client(), fresh = client();
+  for (Client* c : {&head, &body}) {
+    c->send(get("whole"));
+    ASSERT_TRUE(c->receive());
+  }
+  head.send(get("part").substr(0, 40));
+  body.send(large_post(200'000) + std::string(120'000, 'x'));
+  fresh.send(large_post(200'000) + std::string(120'000, 'x'));
+  const auto began = SteadyClock::now();
+  for (Client* c : {&head, &body, &fresh}) {
+    seconds_until_over(*c);
+    EXPECT_LT(SteadyClock::now() - began, std::chrono::duration<double>(kOwed));
+  }
+}
+
+TEST_F(FaultTest, AClientThatWritesSlowlyIsServed) {
+  start();
+  Client head = client(), body = client();
+  head.send(get("whole"));
+  ASSERT_TRUE(head.receive());
+  const std::string request = get("slow");
+  head.send(request.substr(0, 30));
+  body.send(large_post(160'000));
+  // The rest of the head after 2 s, and 64 kB a second of the body.
+  for (int i = 0; i < 20; ++i) {
+    wait(io, 100);
+    body.send(std::string(6'400, 'x'));
+  }
+  head.send(request.substr(30));
+  const auto first = head.receive();
+  ASSERT_TRUE(first);
+  EXPECT_EQ(first->result_int(), 200u);
+  for (int i = 0; i < 5; ++i) {
+    wait(io, 100);
+    body.send(std::string(6'400, 'x'));
+  }
+  const auto second = body.receive();
+  ASSERT_TRUE(second);
+  EXPECT_EQ(second->result_int(), 200u);
+}
+
+TEST_F(FaultTest, InterruptedReadsWritesAndWaitsResetNobody) {
+  start("random:7:300");
+  for (int i = 0; i < 40; ++i) expect_served("t" + std::to_string(i));
+}
+
+TEST_F(FaultTest, ABindThatFailsForAMomentAtTheStartIsTriedAgain) {
+  start("bind:98:3 socket:23:1");
+  expect_served("a");
+}
+
+}  // namespace
+}  // namespace cottonroad::net::testing
--- a/tests/net/process.hpp
+++ b/tests/net/process.hpp
@@ -24,15 +24,17 @@
     path_ = from.path;
     start(-1, "");
   }
-  explicit Process(const std::string& config, int listener = -1, const std::string& shared = "") {
+  // `faults`: how its system calls fail, in the words of tests/net/faults.cpp.
+  explicit Process(const std::string& config, int listener = -1, const std::string& shared = "",
+                   const std::string& faults = "") {
     char name[] = "/tmp/kelpford-test-XXXXXX";
     const int file = ::mkstemp(name);
     path_ = name;
     EXPECT_EQ(::write(file, config.data(), config.size()), ssize_t(config.size()));
     ::close(file);
-    start(listener, shared);
+    start(listener, shared, faults);
   }
-  void start(int listener, const std::string& shared) {
+  void start(int listener, const std::string& shared, const std::string& faults = "") {
     int ends[2];
     EXPECT_EQ(::pipe(ends), 0);
     pid_ = ::fork();
@@ -42,6 +44,11 @@
       ::close(ends[1]);
       ::setenv("RELAY_CONFIG", path_.c_str(), 1);
       ::setenv("TMPDIR", shared.c_str(), 1);
+      if (!faults.empty()) {
+        ::setenv("LD_PRELOAD", COTTONROAD_FAULT_LIBRARY, 1);
+        ::setenv("COTTONROAD_FAULTS", faults.c_str(), 1);
+        ::setenv("ASAN_OPTIONS", "verify_asan_link_order=0", 1);  // the library comes before the sanitizer's
+      }
       if (listener >= 0) {
         ::dup2(listener, 5);
         ::setenv("RELAY_LISTEN_FD", "5", 1);
@@ -71,6 +78,22 @@
     return log;
   }
   void terminate() { ::kill(pid_, SIGTERM); }
+  // Holds the process up, as a machine does that is short of processor time.
+  void stop() {
+    ::kill(pid_, SIGSTOP);
+    ::waitpid(pid_, nullptr, WUNTRACED);
+  }
+  void go_on() { ::kill(pid_, SIGCONT); }
+  // Seconds of processor time that it has used.
+  double cpu_seconds() const {
+    std::ifstream stat("/proc/" + std::to_string(pid_) + "/stat");
+    std::string field;
+    double ticks = 0;
+    constexpr int kUserTime = 14, kSystemTime = 15;
+    for (int i = 1; i <= kSystemTime && stat >> field; ++i)
+      if (i >= kUserTime) ticks += std::stod(field);
+    return ticks / double(::sysconf(_SC_CLK_TCK));
+  }
   // Kilobytes of memory that it holds.
   long resident() const {
     std::ifstream status("/proc/" + std::to_string(pid_) + "/status");
