Close a client that stops amid its request within the 3 s that are owed

Cause: Session::close_if_slow gave a served client 10 s for the rest of a request, and every client a second more for each 60 kB of a body that had come, however long ago. Now any client amid a request is closed 2.4 s after its last byte (200 ms between looks, and a gateway that stands still for 0.15 s, stay within 3 s), and one that trickles is bounded by the body rate as before, counted from its request's first byte.

--- a/src/net/frontend.cpp
+++ b/src/net/frontend.cpp
@@ -30,9 +30,10 @@
 
 constexpr std::uint32_t kMostHeader = 8 << 10;
 constexpr std::size_t kMostAhead = 16 << 10;  // read while a request is held
-constexpr Micros kSlowClient = 10'000'000;    // us for the rest of a request, or to take an answer
-constexpr Micros kStranger =
-    2'400'000;  // us for a first head, which may take 2 s; with kSweep, under the terms' 3 s
+constexpr Micros kSlowClient = 10'000'000;    // us to take some more of an answer
+// us for the head of a request, which may take 2 s, and between any two bytes of it. A client that stops is
+// owed an error or a close within 3 s, of which kSweep and a gateway that stands still take some.
+constexpr Micros kStopped = 2'400'000;
 constexpr double kBodyRate = 60e3;     // bytes a second that a client sends at the least; it owes 64 kB
 constexpr Micros kLinger = 1'000'000;  // us for a client to read an answer before the close
 constexpr std::size_t kStrangerDiscards = 256
@@ -251,10 +252,9 @@
     error_code ec;
     // Danger: a gateway that stood still finds requests unread that came in time; what is there is read
     // first.
-    if (served_
-            ? receiving && stood > kSlowClient + body
-            : (receiving || state_ == State::kBetween) && now - awaited_since_ > kStranger + held_up_ + body)
-      if (socket_.available(ec) == 0) return served_ && state_ == State::kReading ? end() : close();
+    error_code ec;
+    if (has_stopped(now) && socket_.available(ec) == 0)
+      return served_ && state_ == State::kReading ? end() : close();
   }
   void close() {
     if (state_ == State::kClosed) return;
@@ -273,6 +273,18 @@
 
   bool unacknowledged() {
     int bytes = 0;
+  // The client is in the middle of a request, or has yet to begin its first one, and takes too long.
+  bool has_stopped(Micros now) const {
+    const bool amid_request =
+        state_ == State::kReading || (state_ == State::kHeld && upload_ && !upload_full());
+    const bool silent_stranger = state_ == State::kBetween && !served_;
+    if (!amid_request && !silent_stranger) return false;
+    if (amid_request && now - std::max(touched_, since_) > kStopped) return true;
+    const auto body = Micros(double(received_) / kBodyRate * 1e6);
+    const Micros began = served_ ? request_began_ : awaited_since_;
+    return now - began > kStopped + held_up_ + body;
+  }
+
     return ::ioctl(socket_.native_handle(), SIOCOUTQ, &bytes) == 0 && bytes > 0;
   }
   // Nothing more is answered. What still comes is read and thrown away until the client closes its side.
@@ -360,6 +372,8 @@
         headed_ = false;
         enter(State::kReading);
       }
+        request_began_ = front_.clock_.now();
+        held_up_ = 0;
       error_code ec;
       const std::size_t before = body_.size(), used = put(*parser_, pending_, body_, ec);
       received_ += body_.size() - before;
@@ -564,6 +578,7 @@
   unsigned version_ = 11;
   Framing framing_ = Framing::kLength;
   bool reading_ = false, looking_ = false, behind_ = false, writing_ = false, keep_alive_ = true,
+  Micros request_began_ = awaited_since_;                     // with its first byte
        served_ = false, headed_ = false;
   bool health_ = false, expects_ = false, discards_ = false, passing_ = false, last_ = false;
 };
