Go on after system calls that are interrupted, short, or fail for a moment

Causes: Session::read and Upstream::read and flush took EINTR for the end of a connection; asio's async writes wait for an edge after a second short write on a connection, which stood for 10 s; asio's accept waits for a new edge after ECONNABORTED, with the backlog left; any failed accept evicted a client; stop_accepting ended at the first error with the backlog unread, and could block in asio's own poll; acceptor_.bind threw and ended the process; a connect that failed for want of a local port or descriptor was held against the server.

Now src/net/stream_io.hpp reads and writes on, system_errors.hpp tells the failures apart: aborted connections are passed over, only EMFILE evicts, the backlog is emptied before the listener closes, a listener is tried again every 50 ms ('ready' is logged once it is open), and a connect that fails here is tried again within its dial time.

--- a/src/net/admin.cpp
+++ b/src/net/admin.cpp
@@ -7,6 +7,8 @@
 #include <optional>
 #include <string_view>
 
+#include "system_errors.hpp"
+
 namespace cottonroad::net {
 namespace {
 
@@ -106,6 +108,7 @@
   if (!ec) acceptor_.set_option(tcp::acceptor::reuse_address(true), ec);
   if (!ec) acceptor_.bind(at, ec);
   if (!ec) acceptor_.listen(tcp::acceptor::max_listen_connections, ec);
+  if (!ec) acceptor_.set_option(asio::socket_base::enable_connection_aborted(true), ec);
   if (!ec) return accept();
   std::cerr << "admin: " << ec.message() << '\n';
   acceptor_.close(ignored);
@@ -114,6 +117,7 @@
 
 void Admin::accept() {
   acceptor_.async_accept([this](error_code ec, tcp::socket socket) {
+    if (ec && classify_accept(ec) == AcceptFailure::kConnectionLost) return accept();
     if (ec) return timers_.after(kRetry, [this] { accept(); });
     if (sessions_.size() >= kMostSessions) std::shared_ptr<Session>(sessions_.front())->close();
     const auto& session = sessions_.emplace_back(std::make_shared<Session>(*this, std::move(socket)));
--- a/src/net/counter.cpp
+++ b/src/net/counter.cpp
@@ -5,13 +5,14 @@
 #include <algorithm>
 #include <boost/asio/buffer.hpp>
 #include <boost/asio/post.hpp>
-#include <boost/asio/write.hpp>
 #include <charconv>
 #include <cmath>
 #include <cstdlib>
 #include <iostream>
 #include <string_view>
 
+#include "stream_io.hpp"
+
 namespace cottonroad::net {
 namespace {
 
@@ -94,6 +95,7 @@
     if (ec) return lost(ec.message());
     error_code ignored;
     socket_.set_option(tcp::no_delay(true), ignored);
+    socket_.non_blocking(true, ignored);
     state_ = State::kUp;
     heard_ = clock_.now();
     write();
@@ -129,12 +131,14 @@
     c.end = written_ + writing_.size();
   }
   if (writing_.empty()) return;
-  asio::async_write(socket_, asio::buffer(writing_), [this, life = life_](error_code ec, std::size_t size) {
-    if (life != life_) return;
-    written_ += size;
-    writing_.clear();
-    ec ? lost(ec.message()) : write();
-  });
+  write_all(
+      socket_, writing_, [this, life = life_] { return life == life_; },
+      [this, life = life_](error_code ec, std::size_t size) {
+        if (life != life_) return;
+        written_ += size;
+        writing_.clear();
+        ec ? lost(ec.message()) : write();
+      });
 }
 
 void Counter::read() {
--- a/src/net/discovery.cpp
+++ b/src/net/discovery.cpp
@@ -3,12 +3,13 @@
 #include <algorithm>
 #include <boost/asio/buffer.hpp>
 #include <boost/asio/ip/address.hpp>
-#include <boost/asio/write.hpp>
 #include <charconv>
 #include <iostream>
 #include <stdexcept>
 #include <utility>
 
+#include "stream_io.hpp"
+
 namespace cottonroad::net {
 namespace {
 
@@ -126,9 +127,13 @@
   request_ = "GET /catalog/members?watch=1";
   if (!whole_) request_ += "&after=" + std::to_string(revision_);
   request_ += " HTTP/1.1\r\nHost: " + agent_.address().to_string() + "\r\n\r\n";
-  asio::async_write(socket_, asio::buffer(request_), [this, life](error_code ec, std::size_t) {
-    if (life == life_ && ec) lost(ec.message());
-  });
+  error_code ignored;
+  socket_.non_blocking(true, ignored);
+  write_all(
+      socket_, request_, [this, life] { return life == life_; },
+      [this, life](error_code ec, std::size_t) {
+        if (life == life_ && ec) lost(ec.message());
+      });
   read(life);
 }
 
--- a/src/net/driver.cpp
+++ b/src/net/driver.cpp
@@ -64,7 +64,8 @@
                 {[this](std::uint64_t client, ClientRequest r) { return took(client, std::move(r)); },
                  [this](std::uint64_t id, Micros missing) { uploaded(id, missing); },
                  [this](std::uint64_t id, Micros missing) { behind(id, missing); },
-                 [this](std::uint64_t id) { gone(id); }, [this](std::uint64_t id) { room(id); }}) {
+                 [this](std::uint64_t id) { gone(id); }, [this](std::uint64_t id) { room(id); },
+                 [this] { listening(); }}) {
   if (config.counter) {
     counter_.emplace(io, timers_, clock_, *config.counter, settings_.counter_timeout, config.dial_timeout,
                      [this](CounterAnswered a) { push(std::move(a)); });
@@ -91,6 +92,16 @@
   }
 }
 
+void Driver::when_listening(std::function<void()> then) {
+  when_listening_ = std::move(then);
+  if (listening_) when_listening_();
+}
+
+void Driver::listening() {
+  listening_ = true;
+  if (when_listening_) when_listening_();
+}
+
 // ---- What happened ------------------------------------------------------------------------------------
 std::uint64_t Driver::took(std::uint64_t client, ClientRequest request) {
   const std::uint64_t id = ++last_;
--- a/src/net/driver.hpp
+++ b/src/net/driver.hpp
@@ -43,6 +43,8 @@
 
   boost::asio::ip::tcp::endpoint address() const { return frontend_.address(); }
   boost::asio::ip::tcp::endpoint admin_address() const { return admin_->address(); }
+  // Calls `then` once clients can connect.
+  void when_listening(std::function<void()> then);
   // Follows discovery and the counter to the addresses that a new configuration names.
   void follow(const Config& config);
   // Goes on accepting for the hand-over, finishes what is held, then calls `done`, once.
@@ -68,6 +70,7 @@
   };
   using Requests = std::unordered_map<std::uint64_t, Request>;
 
+  void listening();
   std::uint64_t took(std::uint64_t client, ClientRequest request);
   void gone(std::uint64_t id);
   void uploaded(std::uint64_t id, Micros missing);
@@ -113,7 +116,8 @@
   std::uint64_t last_ = 0;
   std::vector<Event> events_;
   bool flushing_ = false;
-  std::function<void()> drained_;
+  std::function<void()> drained_, when_listening_;
+  bool listening_ = false;
   Micros drain_until_ = 0, killed_at_ = 0;
   Metrics metrics_;
   std::size_t in_progress_ = 0;  // requests without a final answer whose client is there
--- a/src/net/frontend.cpp
+++ b/src/net/frontend.cpp
@@ -7,7 +7,7 @@
 #include <algorithm>
 #include <array>
 #include <boost/asio/buffer.hpp>
-#include <boost/asio/write.hpp>
+#include <boost/asio/post.hpp>
 #include <boost/beast/core/string.hpp>
 #include <boost/beast/http/parser.hpp>
 #include <charconv>
@@ -19,6 +19,9 @@
 #include <stdexcept>
 #include <string_view>
 
+#include "stream_io.hpp"
+#include "system_errors.hpp"
+
 namespace cottonroad::net {
 namespace {
 
@@ -43,6 +46,8 @@
 constexpr int kMakeRoomTries = 4;                 // each look asks the kernel
 constexpr Micros kSweep = 200'000;
 constexpr Micros kAcceptAgain = 20'000;
+constexpr Micros kListenAgain = 50'000;
+constexpr Micros kLogListenEvery = 5'000'000;
 constexpr Micros kLongestPatience = 3600'000'000;
 
 // What a client sent that is no request of ours; answered 400.
@@ -153,7 +158,7 @@
       do {
         if (state_ == State::kClosed) return;
         std::size_t size = 0;
-        if (!ec) size = socket_.read_some(asio::buffer(front_.chunk_), ec);
+        if (!ec) size = read_available(socket_, asio::buffer(front_.chunk_), ec);
         if (ec == asio::error::would_block) {
           behind_ = false;
           missing_ = front_.clock_.now();
@@ -183,7 +188,7 @@
     last_ = closes() || framing_ == Framing::kClose;
     // Danger: whatever ends us in the middle of it, such a client would take its part for the whole.
     if (framing_ == Framing::kClose) reset_on_close(true);
-    out_ = "HTTP/1.1 200 OK";
+    out_ = std::exchange(untaken_, {}) + "HTTP/1.1 200 OK";
     if (length) out_ += "\r\nContent-Length: " + std::to_string(*length);
     if (framing_ == Framing::kChunked) out_ += "\r\nTransfer-Encoding: chunked";
     if (last_) out_ += "\r\nConnection: close";
@@ -242,14 +247,11 @@
 
   void close_if_slow(Micros now) {
     const Micros stood = now - since_;
-    const auto body = Micros(double(received_) / kBodyRate * 1e6);
-    const bool receiving = state_ == State::kReading || (state_ == State::kHeld && upload_ && !upload_full());
     if (state_ == State::kWriting && now - progress_ > kSlowClient) return cut();
     // One that writes a large body to its end before it reads our answer has the time for it.
     const bool sends = discards_ && served_ && now - touched_ <= kLinger && stood <= kSlowClient;
     if (state_ == State::kClosing && stood > kLinger && !sends && (stood > kSlowClient || !unacknowledged()))
       return close();
-    error_code ec;
     // Danger: a gateway that stood still finds requests unread that came in time; what is there is read
     // first.
     error_code ec;
@@ -271,8 +273,6 @@
  private:
   enum class Framing { kLength, kChunked, kClose };
 
-  bool unacknowledged() {
-    int bytes = 0;
   // The client is in the middle of a request, or has yet to begin its first one, and takes too long.
   bool has_stopped(Micros now) const {
     const bool amid_request =
@@ -285,6 +285,8 @@
     return now - began > kStopped + held_up_ + body;
   }
 
+  bool unacknowledged() {
+    int bytes = 0;
     return ::ioctl(socket_.native_handle(), SIOCOUTQ, &bytes) == 0 && bytes > 0;
   }
   // Nothing more is answered. What still comes is read and thrown away until the client closes its side.
@@ -370,10 +372,10 @@
         parser_->body_limit(kMostBody);
         received_ = 0;
         headed_ = false;
-        enter(State::kReading);
-      }
         request_began_ = front_.clock_.now();
         held_up_ = 0;
+        enter(State::kReading);
+      }
       error_code ec;
       const std::size_t before = body_.size(), used = put(*parser_, pending_, body_, ec);
       received_ += body_.size() - before;
@@ -457,11 +459,13 @@
     if (upload_full() && upload_was_full_ == 0) upload_was_full_ = front_.clock_.now();
   }
 
-  // Tells a client that asked first to send the body on. So few bytes always fit what the kernel takes.
+  // Tells a client that asked first to send the body on. What the kernel does not take at once goes before
+  // the answer.
   void invite() {
-    error_code ignored;
-    if (std::exchange(expects_, false))
-      socket_.write_some(asio::buffer(std::string_view("HTTP/1.1 100 Continue\r\n\r\n")), ignored);
+    if (!std::exchange(expects_, false)) return;
+    untaken_ = "HTTP/1.1 100 Continue\r\n\r\n";
+    error_code ec;
+    while (!ec && !untaken_.empty()) untaken_.erase(0, write_available(socket_, asio::buffer(untaken_), ec));
   }
 
   // A request has come whole.
@@ -503,7 +507,7 @@
     drop_upload();
     body_.clear();
     enter(State::kWriting);
-    out_ = "HTTP/1.1 " + std::to_string(a.status) + " " + reason(a.status) +
+    out_ = std::exchange(untaken_, {}) + "HTTP/1.1 " + std::to_string(a.status) + " " + reason(a.status) +
            "\r\nContent-Length: " + std::to_string(a.body.size());
     if (a.retry_after > 0) {
       char text[48];
@@ -528,19 +532,28 @@
     write_some(0);
   }
   void write_some(std::size_t from) {
-    socket_.async_write_some(asio::buffer(out_) + from,
-                             [this, from, self = shared_from_this()](error_code ec, std::size_t size) {
-                               if (state_ != State::kWriting) return;
-                               if (ec) return close();
-                               progress_ = front_.clock_.now();
-                               if (from + size < out_.size()) return write_some(from + size);
-                               writing_ = false;
-                               if (!next_.empty()) return flush_next();
-                               if (!passing_) return wrote();
-                               share_.set(0);
-                               progress_ = kNever;  // it is the server that is awaited
-                               front_.calls_.room(request_);
-                             });
+    error_code ec;
+    const std::size_t size = write_available(socket_, asio::buffer(out_) + from, ec);
+    if (ec == asio::error::would_block) {
+      socket_.async_wait(tcp::socket::wait_write, [this, from, self = shared_from_this()](error_code failed) {
+        if (state_ == State::kWriting) failed ? close() : write_some(from);
+      });
+      return;
+    }
+    asio::post(socket_.get_executor(),
+               [this, ec, to = from + size, self = shared_from_this()] { wrote_some(ec, to); });
+  }
+  void wrote_some(error_code ec, std::size_t to) {
+    if (state_ != State::kWriting) return;
+    if (ec) return close();
+    progress_ = front_.clock_.now();
+    if (to < out_.size()) return write_some(to);
+    writing_ = false;
+    if (!next_.empty()) return flush_next();
+    if (!passing_) return wrote();
+    share_.set(0);
+    progress_ = kNever;  // it is the server that is awaited
+    front_.calls_.room(request_);
   }
 
   void wrote() {
@@ -565,12 +578,14 @@
   State state_ = State::kBetween;
   Micros awaited_since_ = front_.clock_.now();  // a request, from a peer that is none of ours yet
   Micros since_ = awaited_since_, touched_ = awaited_since_;  // in this state; last heard of
+  Micros request_began_ = awaited_since_;                     // with its first byte
   Micros progress_ = awaited_since_;                          // of the answer
   std::size_t discarded_ = 0;
   Micros held_up_ = 0, upload_was_full_ = 0;  // us, instant: by us, not by the client
   Micros missing_ = 0;  // when the client had surely not sent all of a body that is passed on
   std::uint64_t request_ = 0, received_ = 0;
   std::string pending_, body_, out_, next_;
+  std::string untaken_;  // of a 100 Continue
   std::optional<RequestParser> parser_;
   std::optional<ClientRequest> incoming_;
   std::shared_ptr<Upload> upload_;
@@ -578,7 +593,6 @@
   unsigned version_ = 11;
   Framing framing_ = Framing::kLength;
   bool reading_ = false, looking_ = false, behind_ = false, writing_ = false, keep_alive_ = true,
-  Micros request_began_ = awaited_since_;                     // with its first byte
        served_ = false, headed_ = false;
   bool health_ = false, expects_ = false, discards_ = false, passing_ = false, last_ = false;
 };
@@ -598,17 +612,40 @@
 }
 Frontend::~Frontend() = default;
 
+// Danger: an address may be taken, or the system short of something, for a moment; a gateway that ended then
+// would have crashed.
 void Frontend::listen(const tcp::endpoint& at, std::optional<int> inherited) {
+  inherited_ = inherited.has_value();
+  const error_code ec = open_listener(at, inherited);
+  if (!ec) {
+    accept();
+    return calls_.listening();
+  }
+  const Micros now = clock_.now();
+  if (now - listen_logged_ > kLogListenEvery) {
+    listen_logged_ = now;
+    std::cerr << "listen: " << ec.message() << "; trying again\n";
+  }
+  timers_.after(kListenAgain, [this, at, inherited] {
+    if (!draining_) listen(at, inherited);
+  });
+}
+
+error_code Frontend::open_listener(const tcp::endpoint& at, std::optional<int> inherited) {
+  error_code ec, ignored;
   if (inherited) {
-    inherited_ = true;
-    acceptor_.assign(at.protocol(), *inherited);
-    return accept();
-  }
-  acceptor_.open(at.protocol());
-  acceptor_.set_option(tcp::acceptor::reuse_address(true));
-  acceptor_.bind(at);
-  acceptor_.listen();
-  accept();
+    acceptor_.assign(at.protocol(), *inherited, ec);
+  } else {
+    acceptor_.open(at.protocol(), ec);
+    if (!ec) acceptor_.set_option(tcp::acceptor::reuse_address(true), ec);
+    if (!ec) acceptor_.bind(at, ec);
+    if (!ec) acceptor_.listen(tcp::acceptor::max_listen_connections, ec);
+    if (ec) acceptor_.close(ignored);
+  }
+  // Danger: else the library waits for another connection after one that was aborted, and those in the
+  // backlog wait with it.
+  if (!ec) acceptor_.set_option(asio::socket_base::enable_connection_aborted(true), ignored);
+  return ec;
 }
 
 void Frontend::accept() {
@@ -616,18 +653,27 @@
   accepting_ = true;
   acceptor_.async_accept([this](error_code ec, tcp::socket socket) {
     accepting_ = false;
-    if (ec == asio::error::operation_aborted) return accept();  // unless it is the successor's turn
-    if (ec) {                                                   // most likely out of descriptors
-      make_room();
-      if (acceptor_.is_open()) timers_.after(kAcceptAgain, [this] { accept(); });
-      return;
-    }
+    if (ec) return accept_failed(ec);
     // Danger: the acceptor may have been closed since; what was accepted before must still be read.
     admit(std::move(socket));
     accept_on();
   });
 }
 
+void Frontend::accept_failed(error_code ec) {
+  switch (classify_accept(ec)) {
+    case AcceptFailure::kCancelled:  // unless it is the successor's turn
+    case AcceptFailure::kConnectionLost:
+      return accept();
+    case AcceptFailure::kNoDescriptors:
+      make_room();
+      break;
+    case AcceptFailure::kTransient:
+      break;
+  }
+  timers_.after(kAcceptAgain, [this] { accept(); });
+}
+
 // Danger: what waits in the backlog is taken, and its time runs.
 void Frontend::accept_on() {
   if (sessions_.size() > most_clients_) make_room();
@@ -693,8 +739,7 @@
   draining_ = true;
   error_code ignored;
   acceptor_.cancel(ignored);
-  const auto sessions = sessions_;
-  for (const auto& [client, s] : sessions) s->close_between();
+  close_all_between();
 }
 
 void Frontend::take_back() {
@@ -706,28 +751,43 @@
   draining_ = true;
   error_code ignored;
   if (inherited_) acceptor_.close(ignored);  // what has not been accepted is the successor's
-  const auto sessions = sessions_;
-  for (const auto& [client, s] : sessions) s->close_between();
+  close_all_between();
 }
 
 void Frontend::stop_accepting() {
-  error_code ec, ignored;
+  if (!acceptor_.is_open()) return close_all_between();
   // Danger: the kernel has taken clients that we have not; a close would reset them with their requests
   // unread.
-  acceptor_.non_blocking(true, ec);
-  while (!ec) {
+  error_code ignored;
+  acceptor_.non_blocking(true, ignored);
+  emptying_backlog_ = true;
+  while (true) {
     tcp::socket socket(io_);
+    error_code ec;
     acceptor_.accept(socket, ec);
-    if (!ec) admit(std::move(socket));
+    if (!ec) {
+      admit(std::move(socket));
+      continue;
+    }
+    if (ec == asio::error::would_block) break;
+    const AcceptFailure failure = classify_accept(ec);
+    if (failure == AcceptFailure::kConnectionLost) continue;
+    if (failure == AcceptFailure::kNoDescriptors) make_room();
+    return timers_.after(kAcceptAgain, [this] { stop_accepting(); });
   }
+  emptying_backlog_ = false;
   acceptor_.close(ignored);
+  close_all_between();
+}
+
+void Frontend::close_all_between() {
   const auto sessions = sessions_;
   for (const auto& [client, s] : sessions) s->close_between();
 }
 
 bool Frontend::quiet() const {
   // Danger: an answer is the client's only once that has taken it; our end would reset what is on its way.
-  return std::all_of(sessions_.begin(), sessions_.end(), [](const auto& entry) {
+  return !emptying_backlog_ && std::all_of(sessions_.begin(), sessions_.end(), [](const auto& entry) {
     Session& s = *entry.second;
     return s.state() == Session::State::kBetween && s.served() && !s.unsettled();
   });
--- a/src/net/frontend.hpp
+++ b/src/net/frontend.hpp
@@ -39,12 +39,13 @@
     std::function<void(std::uint64_t request, Micros missing)> behind;
     std::function<void(std::uint64_t request)> gone;  // its client has
     std::function<void(std::uint64_t request)> room;  // for more of an answer that has begun
+    std::function<void()> listening;                  // clients can connect now
   };
   Frontend(boost::asio::io_context& io, Timers& timers, const Clock& clock, const Settings& settings,
            std::size_t most_clients, BodyBudget& budget, Calls calls);
   ~Frontend();
 
-  // On the inherited socket, where there is one.
+  // On the inherited socket, where there is one. Tried again until it succeeds.
   void listen(const boost::asio::ip::tcp::endpoint& at, std::optional<int> inherited);
   boost::asio::ip::tcp::endpoint address() const { return acceptor_.local_endpoint(); }
   // The one answer to the request that the client waits for; nobody is there to hear it if it has gone.
@@ -68,10 +69,14 @@
 
  private:
   class Session;
+  boost::system::error_code open_listener(const boost::asio::ip::tcp::endpoint& at,
+                                          std::optional<int> inherited);
   void accept();
+  void accept_failed(boost::system::error_code ec);
   void accept_on();
   void admit(boost::asio::ip::tcp::socket socket);
   void make_room();
+  void close_all_between();
   std::shared_ptr<Session> find(std::uint64_t client) const;
   void erase(std::uint64_t client);
   void sweep();
@@ -89,6 +94,8 @@
   std::uint64_t last_ = 0;
   bool draining_ = false;
   bool accepting_ = false;
+  bool emptying_backlog_ = false;  // before the listener is closed
+  Micros listen_logged_ = 0;
   bool inherited_ = false;  // another process may take clients from the same socket
 };
 
--- a/src/net/main.cpp
+++ b/src/net/main.cpp
@@ -71,7 +71,7 @@
       driver.drain([&] { io.stop(); });
     });
     follow_on_hangup(hangup, driver);
-    std::cerr << config.name << ": ready\n";
+    driver.when_listening([&] { std::cerr << config.name << ": ready\n"; });
     run(io);
   } catch (const std::exception& e) {
     std::cerr << "cottonroad_gateway: " << e.what() << '\n';
--- a/src/net/upstream.cpp
+++ b/src/net/upstream.cpp
@@ -14,6 +14,9 @@
 #include <optional>
 #include <string_view>
 
+#include "stream_io.hpp"
+#include "system_errors.hpp"
+
 namespace cottonroad::net {
 namespace {
 
@@ -26,6 +29,7 @@
 constexpr double kIdleShare = 0.4;  // of the servers' idle limit; they may close somewhat earlier
 constexpr Micros kSettle = 20'000;  // us; a second answer may come some milliseconds after the first
 constexpr Micros kSweep = 500'000;
+constexpr Micros kDialAgain = 20'000;
 constexpr std::uint32_t kMostHeader = 16 << 10;
 
 // "TEXT inflight=7, queue=2, util=0.61"; what is not understood counts as not said.
@@ -86,6 +90,15 @@
   return result;
 }
 
+// False if the peer has sent something or closed.
+bool nothing_to_read(int socket) {
+  char byte;
+  ssize_t got = 0;
+  do got = ::recv(socket, &byte, 1, MSG_PEEK | MSG_DONTWAIT);
+  while (got < 0 && errno == EINTR);
+  return got < 0 && (errno == EAGAIN || errno == EWOULDBLOCK);
+}
+
 }  // namespace
 
 // Danger: every handler may run after its connection was closed; each asks `closed` first.
@@ -228,9 +241,7 @@
   for (std::size_t i = pool.idle.size(); i-- > 0;) {
     const Held c = pool.idle[i];
     const Micros stood = clock_.now() - c->idle_since;
-    char byte;
-    const auto got = ::recv(c->socket.native_handle(), &byte, 1, MSG_PEEK | MSG_DONTWAIT);
-    const bool open = got < 0 && (errno == EAGAIN || errno == EWOULDBLOCK);
+    const bool open = nothing_to_read(c->socket.native_handle());
     if (!open || double(stood) >= kIdleShare * double(limits_.idle)) {
       drop(*c);  // closed by the server, or about to be
     } else if (stood >= kSettle) {
@@ -253,8 +264,17 @@
 }
 
 void Upstream::connect(const Held& c) {
+  dial(c);
+  timers_.after(limits_.dial_timeout, [this, weak = std::weak_ptr<Connection>(c)] {
+    const Held c = weak.lock();
+    if (c && c->state == Connection::State::kConnecting) end(c, {Outcome::kConnectFailed, {}, {}}, false);
+  });
+}
+
+void Upstream::dial(const Held& c) {
   c->socket.async_connect(c->address, [this, c](error_code ec) {
     if (c->state != Connection::State::kConnecting) return;
+    if (is_local_connect_failure(ec)) return dial_again(c);
     if (ec) return end(c, {Outcome::kConnectFailed, {}, {}}, false);
     // Danger: the server may have been told off while the connect was under way.
     if (!open_pool(c->server)) return end(c, {Outcome::kNotSent, {}, {}}, false);
@@ -263,9 +283,15 @@
     c->socket.non_blocking(true, ignored);
     write(c);
   });
-  timers_.after(limits_.dial_timeout, [this, weak = std::weak_ptr<Connection>(c)] {
+}
+
+// What this machine is short of for a moment is no fault of the server's. Until the dial time is over.
+void Upstream::dial_again(const Held& c) {
+  error_code ignored;
+  c->socket.close(ignored);
+  timers_.after(kDialAgain, [this, weak = std::weak_ptr<Connection>(c)] {
     const Held c = weak.lock();
-    if (c && c->state == Connection::State::kConnecting) end(c, {Outcome::kConnectFailed, {}, {}}, false);
+    if (c && c->state == Connection::State::kConnecting) dial(c);
   });
 }
 
@@ -294,7 +320,7 @@
 void Upstream::flush(const Held& c) {
   while (c->written < c->out.size()) {
     error_code ec;
-    c->written += c->socket.write_some(asio::buffer(c->out) + c->written, ec);
+    c->written += write_available(c->socket, asio::buffer(c->out) + c->written, ec);
     if (!ec) continue;
     const auto go_on = [this, c, key = c->attempt](error_code ec) {
       // Danger: an answer can come before this does, and the connection may carry the next attempt by now.
@@ -342,7 +368,7 @@
     if (c->state == Connection::State::kIdle) return drop(*c);  // closed, or an answer to nothing
     if (c->paused) return;
     std::size_t size = 0;
-    if (!ec) size = c->socket.read_some(asio::buffer(chunk_), ec);
+    if (!ec) size = read_available(c->socket, asio::buffer(chunk_), ec);
     if (ec == asio::error::would_block) return read(c);
     if (ec) return broke(c, ec);
     took(c, size);
--- a/src/net/upstream.hpp
+++ b/src/net/upstream.hpp
@@ -89,6 +89,8 @@
   Held take_idle(Pool& pool);
   bool make_room();
   void connect(const Held& connection);
+  void dial(const Held& connection);
+  void dial_again(const Held& connection);
   void write(const Held& connection);
   void pump(const Held& connection);
   void flush(const Held& connection);
