--- a/tests/gateway_test.cpp
+++ b/tests/gateway_test.cpp
@@ -5,6 +5,7 @@
 
 #include <algorithm>
 #include <cmath>
+#include <ctime>
 #include <map>
 #include <optional>
 #include <random>
@@ -1136,16 +1137,16 @@
   EXPECT_LT(part, 1.5);
 }
 
-// Thirty gateways with traffic of one to some ten requests a second each, six warm servers and two that start
-// cold; two in three gateways start anew right after that and know of no load yet; one attempt in four is
-// turned away and tried again, of those at warm servers the given share from then on. The most that a cold
-// server got in a window, against what it may get from all together, its budget being reckoned from what a
-// warm one bears.
-double most_at_a_cold_server(std::uint64_t seed, Micros restart, double turned_away) {
-  constexpr int kGateways = 30, kWarm = 6;
+// So many gateways with traffic of one to some ten requests a second for each thirty, six warm servers and
+// two that start cold; two in three gateways start anew right after that and know of no load yet; one attempt
+// in four is turned away and tried again, of those at warm servers the given share from then on. The most
+// that a cold server got in a window, against what it may get from all together, its budget being reckoned
+// from what a warm one bears.
+double most_at_a_cold_server(int gateways, std::uint64_t seed, Micros restart, double turned_away) {
+  constexpr int kWarm = 6;
   constexpr Micros kJoin = 8 * kS, kEnd = 20 * kS;
   Settings s = basic_settings();
-  s.gateways = kGateways;
+  s.gateways = gateways;
   s.plans[0].rate = s.plans[0].burst = 1e6;
   s.cold_share = 0.21;
   s.cold_time = 18 * kS;
@@ -1159,9 +1160,9 @@
   std::uniform_real_distribution<double> chance(0, 1);
   std::map<std::string, std::vector<Micros>> to_cold;
   int to_warm = 0;
-  for (int g = 0; g < kGateways; ++g) {
+  for (int g = 0; g < gateways; ++g) {
     s.position = g;
-    const double rate = std::exp(2.3 * chance(random));
+    const double rate = std::exp(2.3 * chance(random)) * 30 / gateways;
     std::optional<Driver> d;
     d.emplace(s, old, seed * 1000 + std::uint64_t(g));
     bool joined = false, anew = false;
@@ -1209,12 +1210,21 @@
   for (std::uint64_t seed = 1; seed <= 5; ++seed)
     for (const Micros restart : {300 * kMs, 2 * kS})
       for (const double turned_away : {0.25, 0.9}) {
-        const double worst = most_at_a_cold_server(seed, restart, turned_away);
+        const double worst = most_at_a_cold_server(30, seed, restart, turned_away);
         EXPECT_LE(worst, 1) << seed << " " << restart << " " << turned_away;
         EXPECT_GT(worst, 0.2) << seed << " " << restart << " " << turned_away;  // and it is not left alone
       }
 }
 
+TEST(Servers, AFleetOfHundredsTurnedAwayElsewhereSendsAColdServerNoMoreThanItsBudget) {
+  for (const int gateways : {300, 900})
+    for (std::uint64_t seed = 1; seed <= 3; ++seed) {
+      const double worst = most_at_a_cold_server(gateways, seed, 300 * kMs, 0.9);
+      EXPECT_LE(worst, 1) << gateways << " " << seed;
+      EXPECT_GT(worst, 0.1) << gateways << " " << seed;  // and it is not left alone
+    }
+}
+
 TEST(Servers, OnesOwnPauseIsNotReadAsSlowServers) {
   Settings s = basic_settings();
   s.plans[0].rate = s.plans[0].burst = 1e6;
@@ -1328,6 +1338,29 @@
   EXPECT_EQ(d.gateway().count_servers(now).listed, 0u);
 }
 
+// Seconds of processor time that a thousand requests take among so many servers.
+double cpu_of_a_thousand_requests(int servers) {
+  Settings s = basic_settings();
+  s.gateways = 300;
+  s.plans[0].rate = s.plans[0].burst = 1e6;
+  std::vector<std::string> names;
+  for (int i = 0; i < servers; ++i) names.push_back(label("s", i));
+  Driver d(s, Driver::up(names));
+  const std::clock_t began = std::clock();
+  Micros now = kS;
+  for (int i = 0; i < 1000; ++i, now += 30 * kMs) {
+    for (const SendAttempt& a : all<SendAttempt>(d.arrive(now, label("r", i))))
+      d.end(now + 10 * kMs, a, Outcome::kOk, 0, 10 * kMs);
+    d.run(now + 20 * kMs);
+  }
+  return double(std::clock() - began) / CLOCKS_PER_SEC;
+}
+
+TEST(Module, SixteenTimesTheServersTakeLittleMoreProcessorTime) {
+  const double usual = cpu_of_a_thousand_requests(200), many = cpu_of_a_thousand_requests(3200);
+  EXPECT_LE(many, 1.4 * usual + 0.02 + 0.03 * 3.2);
+}
+
 TEST(Module, UnknownPlanAndClassAreStillServed) {
   Driver d;
   RequestArrived r = Driver::request("x", 0);
--- a/tests/net/discovery_test.cpp
+++ b/tests/net/discovery_test.cpp
@@ -188,6 +188,23 @@
                                          std::vector<std::string>{kStalled, kTurnedAway, kSpoilt},
                                          std::vector<std::string>{kSilent, kSpoilt, kStalled})));
 
+TEST_F(DiscoveryTest, AnOlderRevisionAfterANewerOneChangesNothing) {
+  // Guards against an agent that lags behind the one before it and brings a drained server back into use.
+  fake.first = list(43, true, entry("s1", "127.0.0.1:9", "draining"));
+  ASSERT_TRUE(until(io, [&] { return told.size() == 1; }));
+  FakeDiscovery lagging(io);
+  lagging.first = list(42, true, entry("s1", "127.0.0.1:9"));
+  discovery.move(lagging.address());
+  ASSERT_TRUE(until(io, [&] { return lagging.asked.size() == 1; }));
+  EXPECT_EQ(lagging.asked[0], "/catalog/members?watch=1&after=43");
+  wait(io, 20);
+  lagging.tell(list(41, false, entry("s2", "127.0.0.1:9")));
+  lagging.tell(list(44, false, entry("s3", "127.0.0.1:9")));
+  ASSERT_TRUE(until(io, [&] { return told.size() == 2; }));
+  EXPECT_EQ(told[1].revision, 44);
+  EXPECT_EQ(lagging.asked.size(), 1u);  // it is followed as it catches up
+}
+
 TEST_F(DiscoveryTest, AListMayComeIndented) {
   const auto text = list(44, true, entry("s\\\"{", "127.0.0.1:9"));
   fake.first = nlohmann::json::parse(text).dump(1) + "\n\n" + list(45, false, "");
--- a/tests/net/fault_test.cpp
+++ b/tests/net/fault_test.cpp
@@ -93,6 +93,38 @@
   for (int i = 0; i < 40; ++i) expect_served("t" + std::to_string(i));
 }
 
+TEST_F(FaultTest, AClientBehindAnAbortedConnectionIsServedThoughNoOtherComes) {
+  // ECONNABORTED, ENFILE, ENOBUFS and EMFILE, each with the client already in the backlog.
+  for (const int error : {103, 23, 105, 24}) {
+    start("accept:" + std::to_string(error) + ":2");
+    expect_served(std::to_string(error));
+    process.reset();
+    port = free_port(io);
+  }
+}
+
+TEST_F(FaultTest, AFailedAcceptEndsNoOtherClient) {
+  start("accept:23:3:200");
+  Client idle = client();
+  idle.send(get("a"));
+  ASSERT_TRUE(idle.receive());
+  wait(io, 250);
+  expect_served("b");
+  idle.send(get("c"));
+  EXPECT_TRUE(idle.receive());
+}
+
+TEST_F(FaultTest, ABacklogWhoseAcceptFailsIsReadBeforeTheEnd) {
+  Process& p = start("accept:103:400");
+  Client c = client();
+  c.send(get("a"));
+  p.terminate();
+  const auto answer = c.receive();
+  ASSERT_TRUE(answer);
+  EXPECT_EQ(answer->result_int(), 200u);
+  EXPECT_EQ(p.exit_code(), 0);
+}
+
 TEST_F(FaultTest, ABindThatFailsForAMomentAtTheStartIsTriedAgain) {
   start("bind:98:3 socket:23:1");
   expect_served("a");
