Leave a list of an older revision than the one already known

Cause: Discovery::line took every list, also one of an agent that lags behind the one before it (SIGHUP), which brought a drained server back into use and set the revision back.

--- a/src/net/discovery.cpp
+++ b/src/net/discovery.cpp
@@ -188,11 +188,24 @@
   heard_ = clock_.now();
   if (blank) return;  // a heartbeat
   const MemberList list = parse_members(nlohmann::json::parse(std::exchange(object_, {})));
+  if (is_outdated(list)) return;
   revision_ = list.revision;
   whole_ = false;
   told_(list);
 }
 
+// Danger: an agent may lag behind the one before it. What it tells was true before what we know; it would
+// bring servers that drain back into use. Changes after our own revision follow once it has caught up.
+bool Discovery::is_outdated(const MemberList& list) {
+  if (list.revision >= revision_) return false;
+  const Micros now = clock_.now();
+  if (now - logged_ > kLogEvery) {
+    logged_ = now;
+    std::cerr << "discovery: revision " << list.revision << " is older than " << revision_ << ", left\n";
+  }
+  return true;
+}
+
 bool Discovery::ends_object(const std::string& text) {
   for (const char ch : text) {
     if (std::exchange(escaped_, false)) continue;
--- a/src/net/discovery.hpp
+++ b/src/net/discovery.hpp
@@ -49,6 +49,7 @@
   void lost(const std::string& why);
   void watch_quiet(int life);
   bool ends_object(const std::string& text);
+  bool is_outdated(const MemberList& list);
 
   boost::asio::io_context& io_;
   Timers& timers_;
