Draw servers from a tree of speeds, and keep quotas and servers in modules of their own

Cause: Servers::choose went over all servers three times for each attempt and each look at a held request. Now src/policy/server_pool draws the candidates by speed from a Fenwick tree (src/policy/weighted_sampler), each server once, which is the same distribution as before; speeds are brought up to date as servers are used, and all of them once a period. Only an attempt that finds none so (a keyed retry bound to its cell) looks at all servers, and after a fruitless look none follows for 20 ms.

Cause (wall clock): a server's start was dated by its note on the wall clock at every look, and only a larger note was a restart. Now any other note is one, and slow start is counted from the moment in which we were told; starts from before this process are dated by their note unless it lies far in the future. The module hears of the wall clock's offset by an event, which also carries the counter's names over a step: amounts on names in use before it are not believed while the counter may hold them.

Cause (slow start): where a gateway's part of a cold server's budget is under one call, each of hundreds might make its first one at once. What falls on a cold server at the first draw still goes; calls that others could not take wait for their gateway's turn within the span.

--- a/include/cottonroad/gateway.hpp
+++ b/include/cottonroad/gateway.hpp
@@ -1,4 +1,5 @@
-// cottonroad: the interface of the decision module. Plain types only; every decision is in src/brain.cpp.
+// cottonroad: the interface of the decision module. Plain types only; the decisions are in src/brain.cpp and
+// src/policy.
 #pragma once
 
 #include <cstdint>
@@ -11,7 +12,7 @@
 
 namespace cottonroad {
 
-using Micros = std::int64_t;  // microseconds; instants count from one clock that all gateways share
+using Micros = std::int64_t;  // microseconds; instants count on one clock that is never stepped
 
 // May a request run twice? kKeyed: only on servers that share memory of its key (see DedupScope).
 enum class Repeat { kSafe, kKeyed, kUnsafe };
@@ -173,7 +174,12 @@
   CountOutcome outcome = CountOutcome::kUnknown;
   Micros duration = 0;
 };
-// What the process that serves hands to the one that takes its place: figures whose order src/brain.cpp
+// The wall clock, by which servers note their starts and gateways name their counts, is `offset` ahead of the
+// time in which events are told. Until this comes the two are the same.
+struct WallClockMoved {
+  Micros offset = 0;
+};
+// What the process that serves hands to the one that takes its place: figures whose order the policy
 // knows. Those of another length come from another build, and are left.
 struct Handover {
   using Figures = std::vector<double>;
@@ -192,7 +198,7 @@
 struct TookBack {};
 using Event = std::variant<ServerListUpdate, RequestArrived, StreamStarted, AttemptEnded, ClientGone,
                            TimerFired, ProbeEnded, CounterAnswered, ServerSwitched, BodyArrived, TookOver,
-                           PredecessorOpen, TookBack>;
+                           PredecessorOpen, TookBack, WallClockMoved>;
 
 // ---- Actions ------------------------------------------------------------------------------------------
 struct SendAttempt {
