Show late deadlines, a left address and answers past the kill by failing tests

A server whose connection came up 6 s late was told 10 s of the 4 s left; a connect under way carried its request to an address that its server had left; a request held at SIGTERM with its server hanging was answered 3.98 s later, where SIGKILL may come after 3.7 s and a gateway may stand still for 0.15 s.

--- a/tests/net/driver_test.cpp
+++ b/tests/net/driver_test.cpp
@@ -309,6 +309,27 @@
   EXPECT_TRUE(rig.until([&] { return done; }));
 }
 
+TEST_F(DriverTest, WhatIsHeldAtADrainIsAnsweredBeforeTheEarliestKillThoughItsServerHangs) {
+  // SIGKILL may come the longest deadline (3 s at most) + 0.7 s after SIGTERM, to a process held up for 0.15
+  // s.
+  s1.on_request = [](Peer&, const Request_&) {};
+  rig.config.settings.may_cancel = false;
+  rig.know(member("s1", s1));
+  Driver& driver = rig.start();
+  Client before = rig.client(), after = rig.client(), late = rig.client();
+  before.send(post("before"));
+  ASSERT_TRUE(rig.until([&] { return s1.requests.size() == 1; }));
+  const auto began = std::chrono::steady_clock::now();
+  driver.drain([] {});
+  after.send(post("after"));
+  wait(rig.io, 1'900);
+  late.send(post("late"));
+  for (Client* c : {&before, &after, &late}) {
+    EXPECT_GE(status(*c), 429);
+    EXPECT_LT(std::chrono::steady_clock::now() - began, std::chrono::milliseconds(3'700 - 150));
+  }
+}
+
 TEST_F(DriverTest, DrainClosesConnectionsBetweenRequests) {
   rig.know(member("s1", s1));
   Driver& driver = rig.start();
--- a/tests/net/upstream_test.cpp
+++ b/tests/net/upstream_test.cpp
@@ -389,6 +389,28 @@
   EXPECT_TRUE(server.requests.empty());
 }
 
+TEST_F(UpstreamTest, AServerIsToldTheTimeThatIsLeftWhenItsConnectionIsUp) {
+  make({15'000'000, 10'000'000, 10});
+  send(1);  // with 10 s left
+  clock.move(6'000'000);
+  ASSERT_TRUE(until(io, [&] { return !results.empty(); }));
+  const std::string told(server.requests.at(0)["X-Expires-In"]);
+  EXPECT_LE(std::stoll(told), 4'000'000);
+  EXPECT_GT(std::stoll(told), 3'000'000);
+}
+
+TEST_F(UpstreamTest, AConnectUnderWayToAnAddressThatItsServerHasLeftCarriesNothing) {
+  FakeServer other(io);
+  make();
+  send(1);
+  list.complete = false;
+  list.members[0].address = other.address();
+  upstream->update(list);
+  ASSERT_TRUE(until(io, [&] { return !results.empty(); }));
+  EXPECT_EQ(results[0].second.outcome, Outcome::kNotSent);
+  EXPECT_TRUE(server.requests.empty());
+}
+
 TEST_F(UpstreamTest, AServerThatDrainsOrIsUnknownIsSentNothing) {
   make();
   list.members[0].entry.state = ServerState::kRemoved;
