Tell servers the time left when a request is written, and answer all before the earliest kill

Causes: Upstream::send wrote X-Expires-In before the connect; connect's handler looked whether the server was in use, not whether it had moved; Driver::deadline bound only requests taken after SIGTERM to the kill, with 20 ms where a gateway may stand still for 0.15 s. Now the head is finished when the connection is up, nothing is sent there once the time is over, a server that moved gets nothing on a connect to its old address, and whatever is held at SIGTERM is answered 0.25 s before the earliest SIGKILL.

--- a/src/net/driver.cpp
+++ b/src/net/driver.cpp
@@ -22,6 +22,7 @@
 constexpr Micros kLookDrained = 20'000;
 // SIGKILL follows SIGTERM after the longest deadline, counted as so much at the most, and so much more.
 constexpr Micros kLongestToKill = 3'000'000, kKillAfter = 700'000;
+constexpr Micros kLastAnswers = 250'000;      // us before it; this process may be held up for 150 ms
 constexpr Micros kUploadMost = 3600'000'000;  // us; slow clients are the front's to cut off
 constexpr std::size_t kOther =
     24;  // descriptors beside clients' and servers': second address, counter, discovery
@@ -125,7 +126,7 @@
 Micros Driver::deadline(const Request& r, Micros from) const {
   const Micros at = from + r.patience - std::min(kEarly, Micros(kEarlyShare * double(r.patience)));
   // What comes while we drain must have its answer before the platform kills what is left.
-  return drained_ ? std::min(at, killed_at_ - 2 * kBackstop) : at;
+  return drained_ ? std::min(at, answer_by_) : at;
 }
 
 void Driver::start_clock(std::uint64_t id, Request& r, Micros from) {
@@ -426,7 +427,11 @@
   Micros longest = 0;
   for (const ClassSettings& c : settings_.classes) longest = std::max(longest, c.deadline);
   drain_until_ = clock_.now() + kHandOver + longest;
-  killed_at_ = clock_.now() + std::min(longest, kLongestToKill) + kKillAfter;
+  answer_by_ = clock_.now() + std::min(longest, kLongestToKill) + kKillAfter - kLastAnswers;
+  for (const auto& [id, request] : requests_) {
+    if (request.answered || request.deadline <= answer_by_) continue;
+    timers_.at(answer_by_, [this, id = id] { overdue(id); });
+  }
   frontend_.drain();
   timers_.after(kHandOver, [this] {
     frontend_.stop_accepting();
--- a/src/net/driver.hpp
+++ b/src/net/driver.hpp
@@ -118,7 +118,8 @@
   bool flushing_ = false;
   std::function<void()> drained_, when_listening_;
   bool listening_ = false;
-  Micros drain_until_ = 0, killed_at_ = 0;
+  Micros drain_until_ = 0;
+  Micros answer_by_ = 0;  // while we drain; what is not answered then is failed
   Metrics metrics_;
   std::size_t in_progress_ = 0;  // requests without a final answer whose client is there
   BodyBudget budget_;
--- a/src/net/upstream.cpp
+++ b/src/net/upstream.cpp
@@ -111,7 +111,9 @@
   tcp::endpoint address;
   tcp::socket socket;
   AttemptKey attempt;
+  std::string head;  // up to the time that its server is told
   std::string out, pending, body;
+  Micros until = 0;  // the attempt may take
   std::shared_ptr<Upload> upload;
   std::optional<ResponseParser> parser;
   BodyBudget::Share share;
@@ -196,13 +198,13 @@
     ++open_;
   }
   c->attempt = key;
-  c->out.clear();
-  c->out.append(what.method).append(" ").append(what.target).append(" HTTP/1.1\r\nHost: ").append(what.host);
-  c->out.append("\r\nX-Trace-Id: ").append(what.trace_id);
-  if (!what.key.empty()) c->out.append("\r\nIdempotency-Key: ").append(what.key);
-  c->out.append("\r\nX-Expires-In: ").append(std::to_string(std::max<Micros>(1, until - clock_.now())));
-  c->out.append("u");
+  c->until = until;
   c->upload = what.upload;
+  c->head.clear();
+  c->head.append(what.method).append(" ").append(what.target).append(" HTTP/1.1\r\nHost: ").append(what.host);
+  c->head.append("\r\nX-Trace-Id: ").append(what.trace_id);
+  if (!what.key.empty()) c->head.append("\r\nIdempotency-Key: ").append(what.key);
+  c->out.clear();
   const bool chunked = c->upload && !c->upload->length();
   if (chunked)
     c->out.append("\r\nTransfer-Encoding: chunked");
@@ -214,6 +216,11 @@
   fresh ? connect(c) : write(c);
 }
 
+// Danger: a connection may come up late, or we may have stood still; the server is told what is left now.
+std::string Upstream::head_with_time_left(const Connection& c) const {
+  return c.head + "\r\nX-Expires-In: " + std::to_string(c.until - clock_.now()) + "u";
+}
+
 bool Upstream::abandon(AttemptKey key) {
   const auto it = attempts_.find(key);
   if (it == attempts_.end()) return false;
@@ -276,8 +283,11 @@
     if (c->state != Connection::State::kConnecting) return;
     if (is_local_connect_failure(ec)) return dial_again(c);
     if (ec) return end(c, {Outcome::kConnectFailed, {}, {}}, false);
-    // Danger: the server may have been told off while the connect was under way.
-    if (!open_pool(c->server)) return end(c, {Outcome::kNotSent, {}, {}}, false);
+    // Danger: the server may have been told off, or moved, while the connect was under way; and the request's
+    // time may be over.
+    const Pool* const pool = open_pool(c->server);
+    if (!pool || pool->address != c->address || c->until <= clock_.now())
+      return end(c, {Outcome::kNotSent, {}, {}}, false);
     error_code ignored;
     c->socket.set_option(tcp::no_delay(true), ignored);
     c->socket.non_blocking(true, ignored);
@@ -304,6 +314,7 @@
 
 void Upstream::write(const Held& c) {
   c->state = Connection::State::kWriting;
+  c->out.insert(0, head_with_time_left(*c));
   c->body.clear();
   c->passed = 0;
   c->begun = c->paused = false;
@@ -476,7 +487,7 @@
     c->state = Connection::State::kIdle;
     c->idle_since = clock_.now();
     c->parser.reset();
-    c->out = {};
+    c->out = c->head = {};
     pool->idle.push_back(c);
   } else {
     drop(*c);
--- a/src/net/upstream.hpp
+++ b/src/net/upstream.hpp
@@ -94,6 +94,7 @@
   void write(const Held& connection);
   void pump(const Held& connection);
   void flush(const Held& connection);
+  std::string head_with_time_left(const Connection& connection) const;
   void expect(Connection& connection);
   void read(const Held& connection);
   void took(const Held& connection, std::size_t size);
--- a/tests/net/upstream_test.cpp
+++ b/tests/net/upstream_test.cpp
@@ -399,6 +399,15 @@
   EXPECT_GT(std::stoll(told), 3'000'000);
 }
 
+TEST_F(UpstreamTest, NothingIsSentOnAConnectionThatComesUpWhenTheTimeIsOver) {
+  make({15'000'000, 20'000'000, 10});
+  send(1);
+  clock.move(10'000'001);
+  ASSERT_TRUE(until(io, [&] { return !results.empty(); }));
+  EXPECT_EQ(results[0].second.outcome, Outcome::kNotSent);
+  EXPECT_TRUE(server.requests.empty());
+}
+
 TEST_F(UpstreamTest, AConnectUnderWayToAnAddressThatItsServerHasLeftCarriesNothing) {
   FakeServer other(io);
   make();
