Show a keyed retry past its window by a failing test, and test steps of the wall clock

The retry of a keyed request goes out so late that a gateway held up for 150 ms would write it past the window in which repeats are caught.

--- a/tests/gateway_test.cpp
+++ b/tests/gateway_test.cpp
@@ -489,6 +489,34 @@
   EXPECT_NEAR(play(36, 2, CountOutcome::kOk, 0, true).share, 10.0 / 48, 0.08);
 }
 
+TEST(QuotaSlices, ACustomerInsideItsQuotaIsLetInAfterTheWallClockIsStepped) {
+  // Amounts on a counter's name grow with the wall clock; stepped back, they would look many times as large.
+  for (const Micros step : {-3600 * kS, -5 * kS, 5 * kS, 3600 * kS}) {
+    Settings s = counted_settings();
+    Driver d(s);
+    Totals totals;
+    int asked = 0, let_in = 0;
+    for (Micros now = kS; now < 40 * kS; now += 250 * kMs) {
+      std::vector<Action> out = d.run(now);
+      if (now == 10 * kS) d.step(now, {WallClockMoved{step}});
+      const auto arrived = d.arrive(now, label("r", now), 2);
+      out.insert(out.end(), arrived.begin(), arrived.end());
+      for (std::size_t i = 0; i < out.size(); ++i) {
+        const auto* const call = std::get_if<AddToCounter>(&out[i]);
+        if (!call) continue;
+        const auto next = d.step(now, {totals.answer(*call)});
+        out.insert(out.end(), next.begin(), next.end());
+      }
+      ++asked;
+      for (const SendAttempt& a : all<SendAttempt>(out)) {
+        ++let_in;
+        d.end(now, a, Outcome::kOk);
+      }
+    }
+    EXPECT_GT(let_in, asked * 9 / 10) << step;
+  }
+}
+
 TEST(QuotaSlices, ACounterThatServesNobodyIsAskedLess) {
   EXPECT_LT(play(36, 2, CountOutcome::kUnknown).calls, play(36).calls * 2);
   Settings s = counted_settings();
@@ -824,6 +852,23 @@
   EXPECT_TRUE(all<Refuse>(out).empty());
 }
 
+TEST(Rules, AKeyedRetryWhoseSenderIsHeldUpStillArrivesWithinItsWindow) {
+  // A gateway may be held up for 150 ms between reading its clock and writing, after a connection that came
+  // up as late as allowed.
+  Settings s = basic_settings();
+  s.classes[0].repeat = Repeat::kKeyed;
+  s.classes[0].dedup_scope = DedupScope::kAll;
+  s.classes[0].dedup_window = kS;
+  s.classes[0].aim = s.classes[0].deadline = 2 * kS;
+  s.dial_timeout = 250 * kMs;
+  for (const Micros at : {550 * kMs, 650 * kMs}) {
+    Driver d(s);
+    const auto first = all<SendAttempt>(d.arrive(kMs, "r"));
+    const auto again = all<SendAttempt>(d.end(kMs + at, first.at(0), Outcome::kReset));
+    EXPECT_EQ(again.size(), at + s.dial_timeout + 150 * kMs < s.classes[0].dedup_window ? 1u : 0u) << at;
+  }
+}
+
 TEST(Rules, AnUnsafeRequestIsRetriedOnlyWhenItNeverRan) {
   for (Outcome o : {Outcome::kTimeout, Outcome::kReset, Outcome::kError, Outcome::kCancelled}) {
     Driver d(keyed_settings(Repeat::kUnsafe));
@@ -1225,6 +1270,37 @@
     }
 }
 
+// Whether a server that is told of at `told` with this note of its start is spared at `at`, as one in slow
+// start is whose budget has nothing observed behind it.
+bool is_spared(Micros wall_offset, Micros note, Micros told, Micros at) {
+  Settings s = basic_settings();
+  s.plans[0].rate = s.plans[0].burst = 1e6;
+  s.cold_share = 0.2;
+  s.cold_time = 15 * kS;
+  s.cold_multiple = 2;
+  s.cold_window = kS;
+  Driver d(s, Driver::up({"old"}));
+  d.step(20 * kS, {ServerListUpdate{ServerListUpdate::Kind::kPartial, {}}});
+  d.step(told - 1, {WallClockMoved{wall_offset}});
+  ServerListUpdate list;
+  list.entries = Driver::up({"new"});
+  list.entries[0].started_at = note;
+  d.step(told, {list});
+  std::size_t sent = 0;
+  for (int i = 0; i < 5; ++i) sent += all<SendAttempt>(d.arrive(at + i, label("r", i))).size();
+  return sent < 2;
+}
+
+TEST(Servers, SlowStartFollowsRealTimeHoweverTheWallClockIsStepped) {
+  constexpr Micros kHour = 3600 * kS, kTold = kHour;
+  for (const Micros step : {-kHour, -5 * kS, Micros(0), 5 * kS, kHour}) {
+    const Micros note = kTold - kS;  // by the clock before it was stepped
+    EXPECT_TRUE(is_spared(step, note, kTold, kTold + kS)) << step;
+    EXPECT_TRUE(is_spared(step, note, kTold, kTold + 10 * kS)) << step;
+    EXPECT_FALSE(is_spared(step, note, kTold, kTold + 15 * kS)) << step;
+  }
+}
+
 TEST(Servers, OnesOwnPauseIsNotReadAsSlowServers) {
   Settings s = basic_settings();
   s.plans[0].rate = s.plans[0].burst = 1e6;
