--- a/src/brain.cpp
+++ b/src/brain.cpp
@@ -21,6 +21,7 @@
 
 namespace {
 
+constexpr Micros kHeldUp = 150'000;  // us that a gateway may lose between reading its clock and writing
 constexpr double kMeanGain = 0.02;   // per answer; smoothing of a class's answer time
 constexpr double kRetryShare = 0.1;  // retries and second copies per first attempt
 constexpr double kRetryBurst = 10;   // attempts
@@ -317,7 +318,8 @@
 
   // Rule 2: where may this request still go?
   bool may_go(const Request& r, const Server& s) const {
-    const Micros late = settings_.dial_timeout + 2 * settings_.tick;  // so late it may reach the server
+    // So late it may reach the server.
+    const Micros late = settings_.dial_timeout + kHeldUp + 2 * settings_.tick;
     for (const Attempt& a : r.attempts) {
       if (a.server == &s) return false;  // what failed there once may again
       if (!a.may_have_run || r.cls->repeat == Repeat::kSafe) continue;
