Tell the module of steps of the wall clock, and hand the clock over with the state

Causes: Clock took the wall clock once at the start, so that gateways started before and after a step named the quota's counts differently and dated servers' starts by clocks an hour apart; a successor read its predecessor's instants by a base of its own, so that after a step in between slices would not fill and ejections not end for an hour. Now all time told is the steady clock's, the driver tells the module when the wall clock leaves it by 20 ms or more, and owner.json holds the serving process's clock, which its successor goes on by. Tests: a step of an hour either way moves no deadline; a successor finds the clock of a process that lives and of no other.

--- a/src/net/driver.cpp
+++ b/src/net/driver.cpp
@@ -4,6 +4,7 @@
 #include <boost/asio/post.hpp>
 #include <charconv>
 #include <cstdio>
+#include <cstdlib>
 #include <iostream>
 #include <utility>
 
@@ -23,6 +24,8 @@
 // SIGKILL follows SIGTERM after the longest deadline, counted as so much at the most, and so much more.
 constexpr Micros kLongestToKill = 3'000'000, kKillAfter = 700'000;
 constexpr Micros kLastAnswers = 250'000;      // us before it; this process may be held up for 150 ms
+constexpr Micros kLeastStep = 20'000;         // us by which the wall clock may drift unsaid
+constexpr Micros kLoggedStep = 500'000;       // us
 constexpr Micros kUploadMost = 3600'000'000;  // us; slow clients are the front's to cut off
 constexpr std::size_t kOther =
     24;  // descriptors beside clients' and servers': second address, counter, discovery
@@ -279,8 +282,19 @@
   asio::post(io_, [this] { flush(); });
 }
 
+// The module is told when the wall clock has been stepped, or has drifted.
+void Driver::watch_wall_clock() {
+  const Micros offset = clock_.wall_now() - clock_.now();
+  if (std::abs(offset - wall_offset_) < kLeastStep) return;
+  if (std::abs(offset - wall_offset_) > kLoggedStep)
+    std::cerr << "driver: the wall clock was stepped by " << (offset - wall_offset_) / 1000 << " ms\n";
+  wall_offset_ = offset;
+  events_.insert(events_.begin(), WallClockMoved{offset});
+}
+
 void Driver::flush() {
   flushing_ = false;
+  watch_wall_clock();
   std::vector<Event> events;
   std::vector<Action> actions;
   events.swap(events_);
--- a/src/net/driver.hpp
+++ b/src/net/driver.hpp
@@ -87,6 +87,7 @@
   void switched(const std::string& server, bool disabled);
 
   void push(Event event);
+  void watch_wall_clock();
   void flush();
   void act(const SendAttempt& a);
   void act(const CancelAttempt& a);
@@ -118,6 +119,7 @@
   bool flushing_ = false;
   std::function<void()> drained_, when_listening_;
   bool listening_ = false;
+  Micros wall_offset_ = 0;  // as last told to the module
   Micros drain_until_ = 0;
   Micros answer_by_ = 0;  // while we drain; what is not answered then is failed
   Metrics metrics_;
--- a/src/net/handover.cpp
+++ b/src/net/handover.cpp
@@ -42,8 +42,29 @@
   return file && ::rename(fresh.c_str(), path.c_str()) == 0;
 }
 
+// A lock goes with its process, however that ends; a number of a process may come again.
+bool is_alive(const std::string& directory, const std::string& token) {
+  if (token.empty() || token.find('/') != std::string::npos) return false;
+  const std::string path = directory + "/alive-" + token;
+  const int file = ::open(path.c_str(), O_RDWR | O_CLOEXEC);
+  if (file < 0) return false;
+  const bool locked = ::flock(file, LOCK_EX | LOCK_NB) != 0;
+  if (!locked) ::unlink(path.c_str());  // left by one that was killed
+  ::close(file);
+  return locked;
+}
+
 }  // namespace
 
+std::optional<Micros> predecessor_clock(const std::string& directory) {
+  if (directory.empty()) return std::nullopt;
+  const auto owner = nlohmann::json::parse(read_file(directory + "/owner.json"), nullptr, false);
+  const auto clock = owner.is_object() ? owner.find("clock") : owner.end();
+  if (clock == owner.end() || !clock->is_number_integer()) return std::nullopt;
+  if (!is_alive(directory, token_in(directory + "/owner.json", "token"))) return std::nullopt;
+  return clock->get<Micros>();
+}
+
 std::optional<int> inherited_listener() {
   const char* text = std::getenv("RELAY_LISTEN_FD");
   if (!text || !*text) return std::nullopt;
@@ -114,20 +135,9 @@
   ::unlink((directory_ + "/alive-" + token_).c_str());
 }
 
-// A lock goes with its process, however that ends; a number of a process may come again.
-bool Takeover::alive(const std::string& token) const {
-  if (token.empty() || token.find('/') != std::string::npos) return false;
-  const std::string path = directory_ + "/alive-" + token;
-  const int file = ::open(path.c_str(), O_RDWR | O_CLOEXEC);
-  if (file < 0) return false;
-  const bool locked = ::flock(file, LOCK_EX | LOCK_NB) != 0;
-  if (!locked) ::unlink(path.c_str());  // left by one that was killed
-  ::close(file);
-  return locked;
-}
-
 void Takeover::claim() {
-  if (!replace_file(directory_ + "/owner.json", nlohmann::json{{"token", token_}}.dump()))
+  if (!replace_file(directory_ + "/owner.json",
+                    nlohmann::json{{"token", token_}, {"clock", clock_.ahead_of_steady()}}.dump()))
     std::cerr << "handover: cannot write to " << directory_ << '\n';
 }
 
@@ -136,7 +146,7 @@
   lock_ = ::open((directory_ + "/alive-" + token_).c_str(), O_RDWR | O_CREAT | O_CLOEXEC, 0600);
   if (lock_ >= 0) ::flock(lock_, LOCK_EX | LOCK_NB);
   since_ = clock_.now();
-  const bool served = alive(before);
+  const bool served = is_alive(directory_, before);
   claim();
   if (served) return await_state();
   calls_.start(nullptr);
@@ -167,7 +177,7 @@
 void Takeover::watch() {
   const std::string owner = token_in(directory_ + "/owner.json", "token");
   if (successor_.empty()) {
-    if (!owner.empty() && owner != token_ && alive(owner)) {
+    if (!owner.empty() && owner != token_ && is_alive(directory_, owner)) {
       successor_ = owner;
       const Handover state = calls_.hand_over();
       replace_file(directory_ + "/state.json", nlohmann::json{{"for", owner},
@@ -177,7 +187,7 @@
                                                    .dump());
       tell_open();
     }
-  } else if (!alive(successor_)) {
+  } else if (!is_alive(directory_, successor_)) {
     successor_.clear();
     claim();
     calls_.take_back();
--- a/src/net/handover.hpp
+++ b/src/net/handover.hpp
@@ -13,6 +13,10 @@
 
 namespace cottonroad::net {
 
+// The time that the process that serves by this directory tells, as an offset to the steady clock; none if
+// there is no such process. Its successor goes on by it, so that what it hands over keeps its meaning.
+std::optional<Micros> predecessor_clock(const std::string& directory);
+
 // The listening socket that $RELAY_LISTEN_FD names; none if it is not set or names no such socket.
 std::optional<int> inherited_listener();
 
@@ -57,7 +61,6 @@
   void start();
 
  private:
-  bool alive(const std::string& token) const;
   void claim();
   void await_state();
   void watch();
--- a/src/net/main.cpp
+++ b/src/net/main.cpp
@@ -63,7 +63,9 @@
     boost::asio::signal_set signals(io, SIGTERM, SIGINT), hangup(io, SIGHUP);
     auto config = read_config();
     config.listener = cottonroad::net::inherited_listener();
-    const cottonroad::net::Clock clock;
+    const auto inherited_clock =
+        config.listener ? cottonroad::net::predecessor_clock(config.shared_directory) : std::nullopt;
+    const auto clock = inherited_clock ? cottonroad::net::Clock(*inherited_clock) : cottonroad::net::Clock();
     cottonroad::net::Driver driver(io, config, clock);
     signals.async_wait([&](const boost::system::error_code& ec, int) {
       if (ec) return;
--- a/src/net/timers.hpp
+++ b/src/net/timers.hpp
@@ -12,20 +12,28 @@
 
 namespace cottonroad::net {
 
-// Starts from the system clock, so that gateways share periods and a server's start time fits, and advances
-// by the steady one, so that time never goes back when the system clock is set.
+// Tells the time by the steady clock, so that all spans are of real time however the wall clock is stepped.
+// The two are the same at the start.
 class Clock {
  public:
+  Clock() : Clock(wall() - steady()) {}
+  // Continues the time of another process on this machine, which told it `ahead` of the steady clock.
+  explicit Clock(Micros ahead) : ahead_(ahead) {}
   virtual ~Clock() = default;
-  virtual Micros now() const { return wall_ + micros(std::chrono::steady_clock::now() - steady_); }
+  virtual Micros now() const { return steady() + ahead_; }
+  // The wall clock, by which servers note their starts and gateways name their counts.
+  virtual Micros wall_now() const { return wall(); }
+  Micros ahead_of_steady() const { return ahead_; }
 
  private:
   template <typename Duration>
   static Micros micros(Duration d) {
     return std::chrono::duration_cast<std::chrono::microseconds>(d).count();
   }
-  Micros wall_ = micros(std::chrono::system_clock::now().time_since_epoch());
-  std::chrono::steady_clock::time_point steady_ = std::chrono::steady_clock::now();
+  static Micros wall() { return micros(std::chrono::system_clock::now().time_since_epoch()); }
+  static Micros steady() { return micros(std::chrono::steady_clock::now().time_since_epoch()); }
+
+  Micros ahead_ = 0;
 };
 
 // All timers on one kernel timer, each at its own time. Danger: the module looks at what it holds with every
--- a/tests/net/fault_test.cpp
+++ b/tests/net/fault_test.cpp
@@ -114,6 +114,42 @@
   EXPECT_TRUE(idle.receive());
 }
 
+TEST_F(FaultTest, AStepOfTheWallClockIsSeenAndMovesNoDeadline) {
+  for (const char* step : {"wall:3600:200", "wall:-3600:200"}) {
+    Process& p = start(step);
+    wait(io, 250);
+    expect_served("a");
+    EXPECT_NE(p.log_until("stepped").find("wall clock was stepped"), std::string::npos);
+    server.on_request = [](Peer&, const Request_&) {};
+    Client c = client();
+    std::string request = get("b");
+    request.replace(request.find("4000m"), 5, "300m");
+    c.send(request);
+    EXPECT_NEAR(seconds_until_over(c), 0.3, 0.1);
+    server.on_request = [](Peer& peer, const Request_&) { peer.write(reply("200 OK")); };
+    process.reset();
+    port = free_port(io);
+  }
+}
+
+TEST_F(FaultTest, ASuccessorGoesOnByThePredecessorsClockOverAStepOfTheWallClock) {
+  char shared[] = "/tmp/kelpford-test-XXXXXX";
+  ASSERT_NE(::mkdtemp(shared), nullptr);
+  EXPECT_FALSE(predecessor_clock(shared));
+  tcp::acceptor platform(io, {asio::ip::address_v4::loopback(), 0});
+  port = platform.local_endpoint().port();
+  Process before(config(port, server, discovery), platform.native_handle(), shared);
+  ASSERT_NE(before.log_until(": ready").find(": ready"), std::string::npos);
+  const auto clock = predecessor_clock(shared);
+  ASSERT_TRUE(clock);
+  EXPECT_NEAR(double(Clock(*clock).now()), double(Clock().now()), 1e6);
+  before.kill();
+  EXPECT_FALSE(predecessor_clock(shared));
+  for (const char* file : {"owner.json", "disabled.json"})
+    ::unlink((std::string(shared) + "/" + file).c_str());
+  EXPECT_EQ(::rmdir(shared), 0);
+}
+
 TEST_F(FaultTest, ABacklogWhoseAcceptFailsIsReadBeforeTheEnd) {
   Process& p = start("accept:103:400");
   Client c = client();
--- a/tests/net/loopback.hpp
+++ b/tests/net/loopback.hpp
@@ -31,11 +31,14 @@
 class TestClock : public Clock {
  public:
   Micros now() const override { return stopped_ ? *stopped_ : Clock::now() + moved_; }
+  Micros wall_now() const override { return now() + stepped_; }
+  // Steps the wall clock.
+  void step(Micros by) { stepped_ += by; }
   void move(Micros by) { stopped_ ? * stopped_ += by : moved_ += by; }
   void stop() { stopped_ = now(); }
 
  private:
-  Micros moved_ = 0;
+  Micros moved_ = 0, stepped_ = 0;
   std::optional<Micros> stopped_;
 };
 
