Show what a folder that cannot be written loses by failing tests

Staff heard ok for a server taken out by hand of which nothing was on disk; a successor whose claim was not written took its own predecessor for its successor and handed over to it, so that neither took clients; a state that was not written left the successor without it.

--- a/tests/net/fault_test.cpp
+++ b/tests/net/fault_test.cpp
@@ -1,4 +1,6 @@
 // The program itself while system calls fail as Linux documents, and clients that stop amid a request.
+#include <filesystem>
+
 #include "process.hpp"
 
 namespace cottonroad::net::testing {
@@ -166,5 +168,78 @@
   expect_served("a");
 }
 
+// With a folder that lasts and a second address.
+class FolderTest : public FaultTest {
+ protected:
+  FolderTest() { EXPECT_NE(::mkdtemp(shared), nullptr); }
+  ~FolderTest() override {
+    process.reset();
+    after.reset();
+    std::error_code ignored;
+    std::filesystem::remove_all(shared, ignored);
+  }
+  std::string with_admin(std::uint16_t at) {
+    return config(port, server, discovery, R"("admin_addr":"127.0.0.1:)" + std::to_string(at) + "\",");
+  }
+  int call(std::uint16_t at, const std::string& line) {
+    Client staff(io, {asio::ip::address_v4::loopback(), at});
+    staff.send(line + " HTTP/1.1\r\nHost: n0\r\n\r\n");
+    const auto answer = staff.receive();
+    return answer ? int(answer->result_int()) : 0;
+  }
+  std::string kept() {
+    std::ifstream file(std::string(shared) + "/disabled.json");
+    return {std::istreambuf_iterator<char>(file), {}};
+  }
+  void start_in_folder(const std::string& faults) {
+    process.emplace(with_admin(admin), -1, shared, faults);
+    ASSERT_NE(process->log_until(": ready").find(": ready"), std::string::npos);
+  }
+  char shared[32] = "/tmp/kelpford-test-XXXXXX";
+  std::uint16_t admin = free_port(io), admin_after = free_port(io);
+  std::optional<Process> after;
+};
+
+TEST_F(FolderTest, AServerTakenOutByHandIsOnDiskWhenStaffHearYesThoughWritesFailForAWhile) {
+  for (const char* faults : {"write:28:3", "fsync:5:2"}) {
+    start_in_folder(faults);
+    EXPECT_EQ(call(admin, "POST /-/booking-servers/s1/disable"), 200);
+    EXPECT_EQ(kept(), R"(["s1"])");
+    process->kill();
+    process.reset();
+    std::filesystem::remove(std::string(shared) + "/disabled.json");
+    port = free_port(io);
+  }
+}
+
+TEST_F(FolderTest, StaffHearNoWhenWhatTheyWantCannotBeKeptAndNothingChanges) {
+  start_in_folder("fsync:5:1000000");
+  const auto began = SteadyClock::now();
+  EXPECT_EQ(call(admin, "POST /-/booking-servers/s1/disable"), 503);
+  EXPECT_LT(SteadyClock::now() - began, std::chrono::seconds(1));
+  EXPECT_EQ(kept(), "");
+  expect_served("a");
+}
+
+TEST_F(FolderTest, AnUpgradeGoesOnThoughWritesFailForAWhileInEitherProcess) {
+  for (const auto& [old_faults, new_faults] :
+       {std::pair("write:28:3:300", ""), std::pair("", "write:28:3")}) {
+    tcp::acceptor platform(io, {asio::ip::address_v4::loopback(), 0});
+    port = platform.local_endpoint().port();
+    process.emplace(with_admin(admin), platform.native_handle(), shared, old_faults);
+    ASSERT_NE(process->log_until(": ready").find(": ready"), std::string::npos);
+    wait(io, 350);
+    after.emplace(with_admin(admin_after), platform.native_handle(), shared, new_faults);
+    const std::string log = after->log_until(": ready");
+    EXPECT_EQ(log.find("does not answer"), std::string::npos) << log;
+    EXPECT_EQ(call(admin_after, "GET /-/ready"), 200);
+    EXPECT_EQ(call(admin, "GET /-/ready"), 503);
+    process->terminate();
+    EXPECT_EQ(process->exit_code(), 0);
+    after->terminate();
+    EXPECT_EQ(after->exit_code(), 0);
+  }
+}
+
 }  // namespace
 }  // namespace cottonroad::net::testing
--- a/tests/net/faults.cpp
+++ b/tests/net/faults.cpp
@@ -11,6 +11,7 @@
 #include <stdlib.h>
 #include <sys/epoll.h>
 #include <sys/socket.h>
+#include <sys/stat.h>
 #include <time.h>
 #include <unistd.h>
 
@@ -167,7 +168,9 @@
 
 ssize_t write(int fd, const void* buffer, size_t size) {
   static const auto call = real<ssize_t(int, const void*, size_t)>("write");
-  const int error = fd > STDERR_FILENO ? plan().error("write", {}) : 0;
+  struct stat status {};
+  const bool is_file = ::fstat(fd, &status) == 0 && S_ISREG(status.st_mode);
+  const int error = is_file ? plan().error("write", {}) : 0;
   return error != 0 ? fail(error) : call(fd, buffer, size);
 }
 
