Keep what staff and upgrades rely on through failed writes, and say yes only when it is kept

Causes: Disabled::write, Takeover::claim and the state were written once, without fsync, and nobody looked at the result; after a failed claim the new process took its predecessor for its successor. A server taken out by hand is on disk before it is in effect and before staff hear yes; it is tried again for 0.7 s, then staff hear 503. Claims, states and open attempts are written again until they succeed; a successor waits up to 5 s for its claim, and hands over to nobody without one.

--- a/src/net/admin.cpp
+++ b/src/net/admin.cpp
@@ -67,9 +67,20 @@
         (what != "disable" && what != "enable"))
       return answer(http::status::not_found, "no such call\n");
     if (!allowed(http::verb::post)) return;
-    const bool known = admin_.calls_.disable(std::string(path.substr(servers.size(), slash - servers.size())),
-                                             what == "disable");
-    answer(known ? http::status::ok : http::status::not_found, known ? "ok\n" : "no such booking server\n");
+    const std::string server(path.substr(servers.size(), slash - servers.size()));
+    admin_.calls_.disable(server, what == "disable",
+                          [self = shared_from_this()](SwitchResult result) { self->answer(result); });
+  }
+
+  void answer(SwitchResult result) {
+    switch (result) {
+      case SwitchResult::kDone:
+        return answer(http::status::ok, "ok\n");
+      case SwitchResult::kUnknownServer:
+        return answer(http::status::not_found, "no such booking server\n");
+      case SwitchResult::kNotKept:
+        return answer(http::status::service_unavailable, "not kept, call again\n");
+    }
   }
 
   bool allowed(http::verb verb) {
@@ -80,6 +91,7 @@
   }
 
   void answer(http::status status, std::string body) {
+    if (!socket_.is_open()) return;
     answer_.result(status);
     answer_.keep_alive(false);
     answer_.body() = std::move(body);
--- a/src/net/admin.hpp
+++ b/src/net/admin.hpp
@@ -11,12 +11,14 @@
 
 namespace cottonroad::net {
 
+// What became of a call to take a booking server out of use or back into it.
+enum class SwitchResult { kDone, kUnknownServer, kNotKept };
+
 // What the calls reach; the driver fills them in.
 struct AdminCalls {
   std::function<bool()> ready;
   std::function<std::string()> metrics;
-  // False: no such booking server.
-  std::function<bool(const std::string& server, bool disabled)> disable;
+  std::function<void(const std::string& server, bool disabled, std::function<void(SwitchResult)>)> disable;
 };
 
 class Admin {
--- a/src/net/driver.cpp
+++ b/src/net/driver.cpp
@@ -86,10 +86,10 @@
     AdminCalls calls;
     calls.ready = [this] { return !drained_ && frontend_.takes_clients(); };
     calls.metrics = [this] { return figures(); };
-    calls.disable = [this](const std::string& server, bool disabled) {
-      if (!upstream_.knows(server) && !disabled_.has(server)) return false;
-      disabled_.set(server, disabled);
-      return true;
+    calls.disable = [this](const std::string& server, bool disabled, std::function<void(SwitchResult)> done) {
+      if (!upstream_.knows(server) && !disabled_.has(server)) return done(SwitchResult::kUnknownServer);
+      disabled_.set(server, disabled,
+                    [done](bool kept) { done(kept ? SwitchResult::kDone : SwitchResult::kNotKept); });
     };
     admin_.emplace(io, timers_, std::move(calls));
     admin_->listen(*config.admin);
--- a/src/net/handover.cpp
+++ b/src/net/handover.cpp
@@ -13,13 +13,19 @@
 #include <iterator>
 #include <nlohmann/json.hpp>
 
+#include "durable_file.hpp"
+
 namespace cottonroad::net {
 namespace {
 
-constexpr Micros kClaims = 20'000;     // us between looks for a successor, whose clients wait meanwhile
-constexpr Micros kState = 2'000;       // us between looks for what the predecessor hands over
-constexpr Micros kPatience = 300'000;  // us for it; a predecessor that does not answer is not waited for
-constexpr Micros kOpen = 50'000;       // us between its words on attempts still out
+constexpr Micros kClaims = 20'000;      // us between looks for a successor, whose clients wait meanwhile
+constexpr Micros kState = 2'000;        // us between looks for what the predecessor hands over
+constexpr Micros kStateAgain = 10'000;  // us between tries to write it
+constexpr Micros kPatience = 300'000;   // us for it; a predecessor that does not answer is not waited for
+constexpr Micros kOpen = 50'000;        // us between its words on attempts still out
+constexpr Micros kClaimPatience = 5'000'000;  // us for the predecessor to be told of us at all
+constexpr Micros kKeepAgain = 50'000;         // us between tries to keep what staff want
+constexpr Micros kKeepPatience = 700'000;     // us for these; staff are owed an answer within 1 s
 constexpr Micros kWatch =
     50'000;  // us; with a sender's own delay well within the 250 ms of the rule on drains
 
@@ -33,15 +39,6 @@
   return json.is_object() && json.contains(key) && json[key].is_string() ? json[key].get<std::string>() : "";
 }
 
-// Whole or not at all, whoever reads meanwhile.
-bool replace_file(const std::string& path, const std::string& text) {
-  const std::string fresh = path + "." + std::to_string(::getpid());
-  std::ofstream file(fresh, std::ios::trunc);
-  file << text;
-  file.close();
-  return file && ::rename(fresh.c_str(), path.c_str()) == 0;
-}
-
 // A lock goes with its process, however that ends; a number of a process may come again.
 bool is_alive(const std::string& directory, const std::string& token) {
   if (token.empty() || token.find('/') != std::string::npos) return false;
@@ -88,11 +85,28 @@
   if (!path_.empty()) watch();
 }
 
-void Disabled::set(const std::string& server, bool disabled) {
+void Disabled::set(const std::string& server, bool disabled, Done done) {
+  set(server, disabled, std::move(done), timers_.now() + kKeepPatience);
+}
+
+// Danger: what staff heard a yes for outlives this process, however soon it is killed; so it is on disk
+// first.
+void Disabled::set(const std::string& server, bool disabled, Done done, Micros until) {
   if (!path_.empty()) load();  // the other process may just have written
-  disabled ? servers_.insert(server).second : servers_.erase(server) > 0;
-  if (!path_.empty()) write();
-  switched_(server, disabled);
+  std::set<std::string> wanted = servers_;
+  const bool changes = disabled ? wanted.insert(server).second : wanted.erase(server) > 0;
+  if (keep(wanted)) {
+    servers_ = std::move(wanted);
+    if (changes) switched_(server, disabled);
+    return done(true);
+  }
+  if (timers_.now() >= until) {
+    std::cerr << "disabled: cannot write " << path_ << '\n';
+    return done(false);
+  }
+  timers_.after(kKeepAgain, [this, server, disabled, done = std::move(done), until]() mutable {
+    set(server, disabled, std::move(done), until);
+  });
 }
 
 void Disabled::load() {
@@ -111,9 +125,12 @@
     if (!before.count(id)) switched_(id, true);
 }
 
-void Disabled::write() const {
-  if (!replace_file(path_, nlohmann::json(servers_).dump()))
-    std::cerr << "disabled: cannot write " << path_ << '\n';
+bool Disabled::keep(const std::set<std::string>& servers) {
+  if (path_.empty()) return true;
+  const std::string text = nlohmann::json(servers).dump();
+  if (!replace_file(path_, text, Durability::kDurable)) return false;
+  seen_ = text;
+  return true;
 }
 
 void Disabled::watch() {
@@ -135,19 +152,33 @@
   ::unlink((directory_ + "/alive-" + token_).c_str());
 }
 
-void Takeover::claim() {
-  if (!replace_file(directory_ + "/owner.json",
-                    nlohmann::json{{"token", token_}, {"clock", clock_.ahead_of_steady()}}.dump()))
-    std::cerr << "handover: cannot write to " << directory_ << '\n';
+// Tells the other process that this one serves, or wants to. The files between processes need not outlive a
+// crash of the machine, which ends both.
+bool Takeover::claim() {
+  if (lock_ < 0) {
+    lock_ = ::open((directory_ + "/alive-" + token_).c_str(), O_RDWR | O_CREAT | O_CLOEXEC, 0600);
+    if (lock_ < 0) return false;
+    ::flock(lock_, LOCK_EX | LOCK_NB);
+  }
+  const nlohmann::json owner{{"token", token_}, {"clock", clock_.ahead_of_steady()}};
+  return replace_file(directory_ + "/owner.json", owner.dump(), Durability::kProcess);
+}
+
+void Takeover::claim_until_told() {
+  claimed_ = claim();
+  if (claimed_) {
+    since_ = clock_.now();
+    return;
+  }
+  if (!std::exchange(claim_failed_, true)) std::cerr << "handover: cannot write to " << directory_ << '\n';
+  timers_.after(kClaims, [this] { claim_until_told(); });
 }
 
 void Takeover::start() {
   const std::string before = token_in(directory_ + "/owner.json", "token");
-  lock_ = ::open((directory_ + "/alive-" + token_).c_str(), O_RDWR | O_CREAT | O_CLOEXEC, 0600);
-  if (lock_ >= 0) ::flock(lock_, LOCK_EX | LOCK_NB);
   since_ = clock_.now();
   const bool served = is_alive(directory_, before);
-  claim();
+  claim_until_told();
   if (served) return await_state();
   calls_.start(nullptr);
   watch();
@@ -168,7 +199,8 @@
     }
   } catch (const nlohmann::json::exception&) {  // not there yet, or none of ours
   }
-  if (clock_.now() - since_ < kPatience) return timers_.after(kState, [this] { await_state(); });
+  if (clock_.now() - since_ < (claimed_ ? kPatience : kClaimPatience))
+    return timers_.after(kState, [this] { await_state(); });
   std::cerr << "handover: the process before this one does not answer\n";
   calls_.start(nullptr);
   watch();
@@ -176,30 +208,37 @@
 
 void Takeover::watch() {
   const std::string owner = token_in(directory_ + "/owner.json", "token");
-  if (successor_.empty()) {
+  if (!claimed_) {
+    // Danger: the file still names our predecessor, which is no successor.
+  } else if (successor_.empty()) {
     if (!owner.empty() && owner != token_ && is_alive(directory_, owner)) {
       successor_ = owner;
       const Handover state = calls_.hand_over();
-      replace_file(directory_ + "/state.json", nlohmann::json{{"for", owner},
-                                                              {"customers", state.customers},
-                                                              {"servers", state.servers},
-                                                              {"fleet", state.fleet}}
-                                                   .dump());
+      const nlohmann::json told{
+          {"for", owner}, {"customers", state.customers}, {"servers", state.servers}, {"fleet", state.fleet}};
+      tell_state(told.dump());
       tell_open();
     }
   } else if (!is_alive(directory_, successor_)) {
     successor_.clear();
-    claim();
+    claim_until_told();
     calls_.take_back();
   }
   timers_.after(kClaims, [this] { watch(); });
 }
 
+void Takeover::tell_state(const std::string& state) {
+  if (successor_.empty()) return;
+  if (replace_file(directory_ + "/state.json", state, Durability::kProcess)) return;
+  timers_.after(kStateAgain, [this, state] { tell_state(state); });
+}
+
 void Takeover::tell_open() {
   if (successor_.empty()) return;
   const auto open = calls_.open();
-  replace_file(directory_ + "/open.json", nlohmann::json{{"for", successor_}, {"open", open}}.dump());
-  if (!open.empty()) timers_.after(kOpen, [this] { tell_open(); });
+  const nlohmann::json told{{"for", successor_}, {"open", open}};
+  const bool written = replace_file(directory_ + "/open.json", told.dump(), Durability::kProcess);
+  if (!written || !open.empty()) timers_.after(kOpen, [this] { tell_open(); });
 }
 
 void Takeover::hear_open() {
--- a/src/net/handover.hpp
+++ b/src/net/handover.hpp
@@ -28,12 +28,15 @@
   // Without a directory they last as long as the process.
   Disabled(Timers& timers, const std::string& directory, Switched switched);
   void start();
-  void set(const std::string& server, bool disabled);
+  // Calls `done` once this is in effect and kept, or with false if it could not be kept.
+  using Done = std::function<void(bool kept)>;
+  void set(const std::string& server, bool disabled, Done done);
   bool has(const std::string& server) const { return servers_.count(server) > 0; }
 
  private:
+  void set(const std::string& server, bool disabled, Done done, Micros until);
   void load();
-  void write() const;
+  bool keep(const std::set<std::string>& servers);
   void watch();
 
   Timers& timers_;
@@ -61,9 +64,11 @@
   void start();
 
  private:
-  void claim();
+  bool claim();
+  void claim_until_told();
   void await_state();
   void watch();
+  void tell_state(const std::string& state);
   void tell_open();
   void hear_open();
 
@@ -75,7 +80,9 @@
   const std::string token_;  // this process
   std::string successor_;    // empty: none
   int lock_ = -1;            // held as long as this process lives
-  Micros since_ = 0;
+  bool claimed_ = false;     // owner.json names this process
+  bool claim_failed_ = false;
+  Micros since_ = 0;  // the claim, or the start
 };
 
 }  // namespace cottonroad::net
--- a/src/net/timers.hpp
+++ b/src/net/timers.hpp
@@ -43,6 +43,7 @@
  public:
   Timers(boost::asio::io_context& io, const Clock& clock) : clock_(clock), timer_(io) {}
 
+  Micros now() const { return clock_.now(); }
   void at(Micros when, std::function<void()> what);
   void after(Micros delay, std::function<void()> what) { at(clock_.now() + delay, std::move(what)); }
 
--- a/tests/net/admin_test.cpp
+++ b/tests/net/admin_test.cpp
@@ -139,7 +139,7 @@
   ASSERT_EQ(told.size(), 1u);
   std::ofstream(file) << "[\"s1";
   EXPECT_EQ(figures()["skipped_booking_servers"], 1);
-  other.set("s1", false);
+  other.set("s1", false, [](bool kept) { EXPECT_TRUE(kept); });
   ASSERT_TRUE(rig.until([&] { return figures()["skipped_booking_servers"] == 0; }));
   ::unlink(file.c_str());
   ::rmdir(name);
