Show requests whose waiting was not counted by failing tests

A server was told the client's whole time though the request had waited 0.6 s to be accepted, or 1 s behind another request on its connection.

--- a/tests/net/fault_test.cpp
+++ b/tests/net/fault_test.cpp
@@ -39,6 +39,15 @@
            "Plan: plan-group\r\nX-Expires-In: 4000m\r\nContent-Length: " +
            std::to_string(size) + "\r\nQuota-Info: units=1,spread=3,first=0\r\n\r\n";
   }
+  // A request whose client waits for less than its class's aim.
+  static std::string with_patience(const std::string& id, const std::string& patience) {
+    std::string request = get(id);
+    return request.replace(request.find("4000m"), 5, patience);
+  }
+  // Microseconds that the server was told for that attempt.
+  long long told_at(std::size_t attempt) {
+    return std::stoll(std::string(server.requests.at(attempt)["X-Expires-In"]));
+  }
   asio::io_context io;
   FakeServer server{io};
   FakeDiscovery discovery{io};
@@ -124,9 +133,7 @@
     EXPECT_NE(p.log_until("stepped").find("wall clock was stepped"), std::string::npos);
     server.on_request = [](Peer&, const Request_&) {};
     Client c = client();
-    std::string request = get("b");
-    request.replace(request.find("4000m"), 5, "300m");
-    c.send(request);
+    c.send(with_patience("b", "300m"));
     EXPECT_NEAR(seconds_until_over(c), 0.3, 0.1);
     server.on_request = [](Peer& peer, const Request_&) { peer.write(reply("200 OK")); };
     process.reset();
@@ -163,6 +170,27 @@
   EXPECT_EQ(p.exit_code(), 0);
 }
 
+TEST_F(FaultTest, AServerIsToldWhatTheClientHasLeftThoughItsConnectionWaitedToBeAccepted) {
+  start("accept:23:30");  // each is followed by another try after 20 ms
+  Client c = client();
+  c.send(with_patience("a", "2000m"));
+  ASSERT_TRUE(c.receive());
+  EXPECT_LE(told_at(0), 2'000'000 - 600'000 + 150'000);
+}
+
+TEST_F(FaultTest, AServerIsToldWhatTheClientHasLeftThoughItsRequestWaitedBehindAnother) {
+  start();
+  std::shared_ptr<Peer> held;
+  server.on_request = [&](Peer& p, const Request_&) { held = p.shared_from_this(); };
+  Client c = client();
+  c.send(with_patience("first", "2000m") + with_patience("second", "2000m"));
+  ASSERT_TRUE(until(io, [&] { return held != nullptr; }));
+  wait(io, 1'000);
+  held->write(reply("200 OK"));
+  ASSERT_TRUE(until(io, [&] { return server.requests.size() == 2; }));
+  EXPECT_LE(told_at(1), 2'000'000 - 1'000'000 + 150'000);
+}
+
 TEST_F(FaultTest, ABindThatFailsForAMomentAtTheStartIsTriedAgain) {
   start("bind:98:3 socket:23:1");
   expect_served("a");
