Count a request's time from when its last byte came, also while it waits unread or behind another

Cause: Driver::took began the client's time when the request was parsed. On a connection that waited to be accepted, and behind an earlier request of its connection, it had been running before. Now the front keeps when each stretch of bytes was read, and of a new connection asks the system (TCP_INFO) how long ago its last data came.

--- a/src/net/driver.cpp
+++ b/src/net/driver.cpp
@@ -120,7 +120,7 @@
   if (r.outgoing.upload)
     r.deadline = clock_.now() + kUploadMost;  // a client waits from its last byte on
   else
-    start_clock(id, r, clock_.now());
+    start_clock(id, r, request.came_at);
   request.arrived.deadline = r.deadline;
   push(std::move(request.arrived));
   return id;
--- a/src/net/frontend.cpp
+++ b/src/net/frontend.cpp
@@ -1,6 +1,8 @@
 #include "frontend.hpp"
 
 #include <linux/sockios.h>
+#include <netinet/in.h>
+#include <netinet/tcp.h>
 #include <poll.h>
 #include <sys/ioctl.h>
 
@@ -12,7 +14,9 @@
 #include <boost/beast/http/parser.hpp>
 #include <charconv>
 #include <cmath>
+#include <cstddef>
 #include <cstdio>
+#include <deque>
 #include <iostream>
 #include <limits>
 #include <optional>
@@ -48,6 +52,7 @@
 constexpr Micros kAcceptAgain = 20'000;
 constexpr Micros kListenAgain = 50'000;
 constexpr Micros kLogListenEvery = 5'000'000;
+constexpr Micros kLongestBacklog = 60'000'000;  // us; a connection waits for less, whatever the system says
 constexpr Micros kLongestPatience = 3600'000'000;
 
 // What a client sent that is no request of ours; answered 400.
@@ -128,6 +133,15 @@
   return out;
 }
 
+// Of what a connection that waited to be accepted has sent; 0 where the system does not say.
+Micros age_of_last_data(int socket) {
+  tcp_info info{};
+  socklen_t size = sizeof info;
+  if (::getsockopt(socket, IPPROTO_TCP, TCP_INFO, &info, &size) != 0) return 0;
+  if (size < offsetof(tcp_info, tcpi_last_data_recv) + sizeof info.tcpi_last_data_recv) return 0;
+  return std::min(Micros(info.tcpi_last_data_recv) * 1000, kLongestBacklog);
+}
+
 const char* reason(int status) {
   const auto text = http::obsolete_reason(http::status(status));
   return text.data();  // string literals of the library
@@ -166,7 +180,8 @@
         }
         if (ec) return close();
         touched_ = front_.clock_.now();
-        took(size);
+        took(size,
+             touched_ - (std::exchange(read_before_, true) ? 0 : age_of_last_data(socket_.native_handle())));
         parse();
         if (behind_ && upload_) look_for_rest();
       } while (state_ == State::kHeld && !discards_ && reads());
@@ -328,12 +343,14 @@
     else if (*rest > socket_.available(ec) + kClientBuffer)
       missing_ = front_.clock_.now();
   }
-  void took(std::size_t size) {
+  void took(std::size_t size, Micros came_at) {
     if (discards_ || state_ == State::kClosing) {
       discarded_ += size;
       return;
     }
     pending_.append(front_.chunk_.data(), size);
+    bytes_read_ += size;
+    arrivals_.push_back({bytes_read_, came_at});
     // Danger: unread, it would hide that the client leaves. One that sends so much ahead is none of ours, and
     // has the answer to the request that is held, no more.
     if (state_ == State::kHeld && !upload_ && pending_.size() > kMostAhead) {
@@ -380,6 +397,8 @@
       const std::size_t before = body_.size(), used = put(*parser_, pending_, body_, ec);
       received_ += body_.size() - before;
       pending_.erase(0, used);
+      bytes_parsed_ += used;
+      while (arrivals_.size() > 1 && arrivals_.front().end < bytes_parsed_) arrivals_.pop_front();
       if (ec && ec != http::error::need_more) {
         const bool large = ec == http::error::body_limit || ec == http::error::header_limit;
         return malformed(large ? 413 : 400, ec.message());
@@ -488,6 +507,7 @@
       return write(health, closes());
     }
     incoming_->outgoing.body = std::exchange(body_, {});
+    incoming_->came_at = arrivals_.front().came_at;
     enter(State::kHeld);
     request_ = front_.calls_.took(client_, std::move(*incoming_));
     incoming_.reset();
@@ -586,6 +606,14 @@
   std::uint64_t request_ = 0, received_ = 0;
   std::string pending_, body_, out_, next_;
   std::string untaken_;  // of a 100 Continue
+  // Danger: a request's time counts from its client's last byte, also while it waits behind another one.
+  struct Arrival {
+    std::uint64_t end = 0;  // of the bytes read with it, from the connection's begin
+    Micros came_at = 0;
+  };
+  std::deque<Arrival> arrivals_;  // of what is not parsed yet, and of the last that is
+  std::uint64_t bytes_read_ = 0, bytes_parsed_ = 0;
+  bool read_before_ = false;
   std::optional<RequestParser> parser_;
   std::optional<ClientRequest> incoming_;
   std::shared_ptr<Upload> upload_;
--- a/src/net/frontend.hpp
+++ b/src/net/frontend.hpp
@@ -19,6 +19,7 @@
 struct ClientRequest {
   RequestArrived arrived;  // `id` and `deadline` are the driver's to fill in
   Micros patience = 0;     // how long the client waits
+  Micros came_at = 0;      // its last byte, unless its body is still to come
   Outgoing outgoing;
 };
 
