--- a/src/net/upstream.cpp
+++ b/src/net/upstream.cpp
@@ -286,18 +286,25 @@
     if (c->state != Connection::State::kConnecting) return;
     if (is_local_connect_failure(ec)) return dial_again(c);
     if (ec) return end(c, {Outcome::kConnectFailed, {}, {}}, false);
-    // Danger: the server may have been told off, or moved, while the connect was under way; and the request's
-    // time may be over.
-    const Pool* const pool = open_pool(c->server);
-    if (!pool || pool->address != c->address || c->until <= clock_.now())
-      return end(c, {Outcome::kNotSent, {}, {}}, false);
-    error_code ignored;
-    c->socket.set_option(tcp::no_delay(true), ignored);
-    c->socket.non_blocking(true, ignored);
-    write(c);
+    // Danger: where we have stood still, the news that the client has left may be handled in this turn, after
+    // this.
+    asio::post(io_, [this, c] { came_up(c); });
   });
 }
 
+void Upstream::came_up(const Held& c) {
+  if (c->state != Connection::State::kConnecting) return;
+  // Danger: the server may have been told off, or moved, while the connect was under way; and the request's
+  // time may be over.
+  const Pool* const pool = open_pool(c->server);
+  if (!pool || pool->address != c->address || c->until <= clock_.now())
+    return end(c, {Outcome::kNotSent, {}, {}}, false);
+  error_code ignored;
+  c->socket.set_option(tcp::no_delay(true), ignored);
+  c->socket.non_blocking(true, ignored);
+  write(c);
+}
+
 // What this machine is short of for a moment is no fault of the server's. Until the dial time is over.
 void Upstream::dial_again(const Held& c) {
   error_code ignored;
--- a/src/net/upstream.hpp
+++ b/src/net/upstream.hpp
@@ -91,6 +91,7 @@
   void connect(const Held& connection);
   void dial(const Held& connection);
   void dial_again(const Held& connection);
+  void came_up(const Held& connection);
   void write(const Held& connection);
   void pump(const Held& connection);
   void flush(const Held& connection);
--- a/tests/net/soak_test.cpp
+++ b/tests/net/soak_test.cpp
@@ -51,6 +51,7 @@
     for (const int at : {700, 720, 1500}) after(milliseconds(at), [this, at] { reconfigure(at); });
     after(milliseconds(1800), [this] { drain(1); });
     after(milliseconds(2400), [this] { drain(2); });
+    for (int i = 0; i < 8; ++i) after(milliseconds(pick(300, 6'500)), [this] { hold_up(); });
     after(kService, [this] { terminate(); });
     const auto end = SteadyClock::now() + kService + kEarliestKill;
     until(io_, [&] { return SteadyClock::now() >= end; });
@@ -116,6 +117,15 @@
         if (!peer->over) peer->write(FakeDiscovery::chunk(change));
     }
   }
+  // As a machine short of processor time does.
+  void hold_up() {
+    if (std::exchange(held_up_, true)) return;
+    process_->stop();
+    after(milliseconds(pick(50, 150)), [this] {
+      process_->go_on();
+      held_up_ = false;
+    });
+  }
   void terminate() {
     terminated_ = true;
     process_->terminate();
@@ -207,7 +217,7 @@
   std::vector<Held> idle_;
   std::set<std::string> wrongs_;
   milliseconds lag_{0};
-  bool terminated_ = false;
+  bool terminated_ = false, held_up_ = false;
   int last_ = 0, answered_ = 0;
 };
 
