--- a/src/brain.cpp
+++ b/src/brain.cpp
@@ -36,10 +36,18 @@
   Micros sent = 0;
   bool out = true;
   bool may_have_run = true;
-  bool blamed = false;   // cancelled by us because its server had stalled
+  bool stalled = false;  // cancelled by us because its server had stalled
   bool counted = false;  // for its server, since its answer has begun
 };
 
+// What is to be done about a request at a certain time.
+struct RequestTimer {
+  enum class Purpose { kDoubtAttempt, kDecide, kEndHold };
+  std::string request;
+  Purpose purpose = Purpose::kDoubtAttempt;
+  int attempt = 0;  // of kDoubtAttempt
+};
+
 struct Request {
   std::string id;
   const ClassSettings* cls = nullptr;
@@ -205,12 +213,19 @@
     if (e.token == kResubscribe) return emit(SubscribeList{});
     auto found = timers_.find(e.token);
     if (found == timers_.end()) return;
-    const auto [id, attempt] = found->second;
+    const RequestTimer timer = found->second;
     timers_.erase(found);
-    auto it = requests_.find(id);
+    auto it = requests_.find(timer.request);
     if (it == requests_.end() || it->second.done) return;
-    if (attempt >= 0) doubt(it->second, attempt);
-    if (attempt == kDecide && it->second.waits) decide(it->second);
+    switch (timer.purpose) {
+      case RequestTimer::Purpose::kDoubtAttempt:
+        return doubt(it->second, timer.attempt);
+      case RequestTimer::Purpose::kDecide:
+        if (it->second.waits) decide(it->second);
+        return;
+      case RequestTimer::Purpose::kEndHold:
+        return;  // what is held is looked at after every batch
+    }
   }
 
   void look() {
@@ -250,7 +265,7 @@
         e.deadline - now_ > settings_.counter_timeout + 2 * settings_.tick) {
       r.waits = true;
       c.waiting.push_back(e.id);
-      timers_[++timer_] = {r.id, kDecide};
+      timers_[++timer_] = {r.id, RequestTimer::Purpose::kDecide};
       emit(SetTimer{now_ + settings_.counter_timeout + settings_.tick, timer_});
     } else {
       decide(r);
@@ -361,7 +376,7 @@
 
   void watch(const Request& r, int attempt, Micros after) {
     if (r.uploading || now_ + after >= r.give_up) return;
-    timers_[++timer_] = {r.id, attempt};
+    timers_[++timer_] = {r.id, RequestTimer::Purpose::kDoubtAttempt, attempt};
     emit(SetTimer{now_ + after, timer_});
   }
 
@@ -369,7 +384,7 @@
   // answered nothing since, which tells a stalled server from a heavy request.
   void doubt(Request& r, int index) {
     Attempt& a = r.attempts[std::size_t(index)];
-    if (!a.out || a.blamed) return;
+    if (!a.out || a.stalled) return;
     const bool repeatable = r.cls->repeat == Repeat::kSafe || r.cls->repeat == Repeat::kKeyed;
     if (repeatable && retries_ >= 1) {
       if (settings_.may_duplicate) {
@@ -379,7 +394,7 @@
       }
       if (settings_.may_cancel && a.server->owing_since <= a.sent) {
         retries_ -= 1;
-        a.blamed = true;
+        a.stalled = true;
         emit(CancelAttempt{r.id, index});
         return;
       }
@@ -398,7 +413,7 @@
     const double mean = mean_of(*r.cls);
     // Danger: a gateway that stood still finds answers old; what they say they took counts, not the clock.
     const double over_aim = double(duration) / double(std::max<Micros>(1, r.cls->aim)) * mean / r.expected;
-    if (servers_.ended(now_, *a.server, {o, double(duration) / r.expected, over_aim, mean, a.blamed, load}))
+    if (servers_.ended(now_, *a.server, {o, double(duration) / r.expected, over_aim, mean, a.stalled, load}))
       log("server", a.server->entry.server + " ejected: failures in a row");
     if (settings_.settles_later && billed > 0 && !r.over) slices_.take(*r.customer, billed - r.units);
   }
@@ -418,7 +433,7 @@
     if (!a.counted) count(r, a, e.outcome, e.duration, e.billed, e.load);
     if (e.finished) finish(r);
     if (!r.done && r.out == 0) {
-      const bool cheap = !a.may_have_run || a.blamed;
+      const bool cheap = !a.may_have_run || a.stalled;
       const bool again = e.repeatable && (cheap || retries_ >= 1);
       if (again && send(r)) {
         if (!cheap) retries_ -= 1;
@@ -460,7 +475,7 @@
     r.held = true;
     held_.push_back(r.id);
     log("full", "servers are full; requests wait or are refused");
-    timers_[++timer_] = {r.id, kWake};
+    timers_[++timer_] = {r.id, RequestTimer::Purpose::kEndHold};
     r.hold_until = std::min(r.give_up - std::max(settings_.tick, Micros(kNeed * r.expected)),
                             r.arrived + Micros(kHoldShare * double(r.cls->aim)));
     emit(SetTimer{r.hold_until, timer_});
@@ -490,7 +505,6 @@
   }
 
   static constexpr std::int64_t kLook = 0, kResubscribe = 1;
-  static constexpr int kWake = -1, kDecide = -2;  // in place of an attempt's number, in timers
   Settings settings_;
   const ClassSettings unknown_class_{};
   const PlanSettings unknown_plan_{};
@@ -501,7 +515,7 @@
   std::vector<double> means_;                          // us; mean answer time by class
   std::vector<double> met_;                            // good answers by class
   std::unordered_map<std::string, Request> requests_;  // looked up by id, never walked
-  std::unordered_map<std::int64_t, std::pair<std::string, int>> timers_;
+  std::unordered_map<std::int64_t, RequestTimer> timers_;
   std::map<std::string, Micros> logged_;
   std::map<std::string, int> refused_;  // by reason, since the last line on them
   Micros refused_at_ = 0;
--- a/src/net/frontend.hpp
+++ b/src/net/frontend.hpp
@@ -10,19 +10,13 @@
 #include <vector>
 
 #include "body.hpp"
+#include "client_request.hpp"
 #include "cottonroad/gateway.hpp"
 #include "timers.hpp"
 #include "upstream.hpp"
 
 namespace cottonroad::net {
 
-struct ClientRequest {
-  RequestArrived arrived;  // `id` and `deadline` are the driver's to fill in
-  Micros patience = 0;     // how long the client waits
-  Micros came_at = 0;      // its last byte, unless its body is still to come
-  Outgoing outgoing;
-};
-
 struct Answer {
   int status = 502;
   Micros retry_after = 0;  // 0: none
--- a/tests/net/admin_test.cpp
+++ b/tests/net/admin_test.cpp
@@ -122,7 +122,7 @@
 }
 
 TEST_F(AdminTest, ServersTakenOutByHandOutliveTheProcessAndBindTheOtherOneAndATornFileChangesNothing) {
-  char name[] = "/tmp/kelpford-test-XXXXXX";
+  char name[] = "/tmp/cottonroad-test-XXXXXX";
   ASSERT_NE(::mkdtemp(name), nullptr);
   const std::string file = std::string(name) + "/disabled.json";
   rig.config.shared_directory = name;
--- a/tests/net/ending_test.cpp
+++ b/tests/net/ending_test.cpp
@@ -264,7 +264,7 @@
   asio::io_context io;
   FakeServer server(io);
   FakeDiscovery discovery(io);
-  char dir[] = "/tmp/kelpford-test-XXXXXX";
+  char dir[] = "/tmp/cottonroad-test-XXXXXX";
   ASSERT_NE(::mkdtemp(dir), nullptr);
   const std::string fifo = std::string(dir) + "/config", text = config(free_port(io), server, discovery);
   ASSERT_EQ(::mkfifo(fifo.c_str(), 0600), 0);
--- a/tests/net/fault_test.cpp
+++ b/tests/net/fault_test.cpp
@@ -142,7 +142,7 @@
 }
 
 TEST_F(FaultTest, ASuccessorGoesOnByThePredecessorsClockOverAStepOfTheWallClock) {
-  char shared[] = "/tmp/kelpford-test-XXXXXX";
+  char shared[] = "/tmp/cottonroad-test-XXXXXX";
   ASSERT_NE(::mkdtemp(shared), nullptr);
   EXPECT_FALSE(predecessor_clock(shared));
   tcp::acceptor platform(io, {asio::ip::address_v4::loopback(), 0});
@@ -229,7 +229,7 @@
     process.emplace(with_admin(admin), -1, shared, faults);
     ASSERT_NE(process->log_until(": ready").find(": ready"), std::string::npos);
   }
-  char shared[32] = "/tmp/kelpford-test-XXXXXX";
+  char shared[32] = "/tmp/cottonroad-test-XXXXXX";
   std::uint16_t admin = free_port(io), admin_after = free_port(io);
   std::optional<Process> after;
 };
--- a/tests/net/gone_test.cpp
+++ b/tests/net/gone_test.cpp
@@ -219,7 +219,7 @@
   asio::io_context io;
   FakeServer server(io);
   FakeDiscovery discovery(io);
-  char shared[] = "/tmp/kelpford-test-XXXXXX";
+  char shared[] = "/tmp/cottonroad-test-XXXXXX";
   ASSERT_NE(::mkdtemp(shared), nullptr);
   const std::string owner = std::string(shared) + "/owner.json",
                     alive = std::string(shared) + "/alive-before";
--- a/tests/net/process.hpp
+++ b/tests/net/process.hpp
@@ -27,7 +27,7 @@
   // `faults`: how its system calls fail, in the words of tests/net/faults.cpp.
   explicit Process(const std::string& config, int listener = -1, const std::string& shared = "",
                    const std::string& faults = "") {
-    char name[] = "/tmp/kelpford-test-XXXXXX";
+    char name[] = "/tmp/cottonroad-test-XXXXXX";
     const int file = ::mkstemp(name);
     path_ = name;
     EXPECT_EQ(::write(file, config.data(), config.size()), ssize_t(config.size()));
@@ -53,7 +53,7 @@
         ::dup2(listener, 5);
         ::setenv("RELAY_LISTEN_FD", "5", 1);
       }
-      ::execl(KELPFORD_GATEWAY, KELPFORD_GATEWAY, nullptr);
+      ::execl(COTTONROAD_GATEWAY_PROGRAM, COTTONROAD_GATEWAY_PROGRAM, nullptr);
       ::_exit(127);
     }
     ::close(ends[1]);
--- a/tests/net/process_test.cpp
+++ b/tests/net/process_test.cpp
@@ -224,7 +224,7 @@
       p.write(reply("200 OK", "", "x"));
     }
   };
-  char shared[] = "/tmp/kelpford-test-XXXXXX";
+  char shared[] = "/tmp/cottonroad-test-XXXXXX";
   ASSERT_NE(::mkdtemp(shared), nullptr);
   tcp::acceptor platform(io, {asio::ip::address_v4::loopback(), 0});
   const auto port = platform.local_endpoint().port();
