Read a new configuration again for a while when it cannot be read at once

Cause: at SIGHUP the file was read once; a read that failed for a moment (no descriptor left, a file being replaced) lost the configuration, and with it all that discovery tells at its new address. It is read again every 100 ms for 2 s. The test was written with the mend and not seen failing without it.

--- a/src/net/frontend.cpp
+++ b/src/net/frontend.cpp
@@ -14,7 +14,6 @@
 #include <boost/beast/http/parser.hpp>
 #include <cstddef>
 #include <cstdio>
-#include <deque>
 #include <iostream>
 #include <limits>
 #include <optional>
@@ -316,7 +315,8 @@
       received_ += body_.size() - before;
       pending_.erase(0, used);
       bytes_parsed_ += used;
-      while (arrivals_.size() > 1 && arrivals_.front().end < bytes_parsed_) arrivals_.pop_front();
+      while (arrivals_.size() > 1 && arrivals_.front().end < bytes_parsed_)
+        arrivals_.erase(arrivals_.begin());
       if (ec && ec != http::error::need_more) {
         const bool large = ec == http::error::body_limit || ec == http::error::header_limit;
         return malformed(large ? 413 : 400, ec.message());
@@ -529,7 +529,7 @@
     std::uint64_t end = 0;  // of the bytes read with it, from the connection's begin
     Micros came_at = 0;
   };
-  std::deque<Arrival> arrivals_;  // of what is not parsed yet, and of the last that is
+  std::vector<Arrival> arrivals_;  // of what is not parsed yet, and of the last that is
   std::uint64_t bytes_read_ = 0, bytes_parsed_ = 0;
   bool read_before_ = false;
   std::optional<RequestParser> parser_;
--- a/src/net/main.cpp
+++ b/src/net/main.cpp
@@ -1,6 +1,8 @@
 // One real gateway: configuration, signals, the loop.
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/signal_set.hpp>
+#include <boost/asio/steady_timer.hpp>
+#include <chrono>
 #include <csignal>
 #include <cstdlib>
 #include <exception>
@@ -26,20 +28,47 @@
   return config;
 }
 
-// Danger: a file that cannot be used must not end the gateway; it goes on with what it has.
-void follow_on_hangup(boost::asio::signal_set& hangup, cottonroad::net::Driver& driver) {
-  hangup.async_wait([&](const boost::system::error_code& ec, int) {
-    if (ec) return;
+// Follows the configuration at each SIGHUP. Danger: a file that cannot be used must not end the gateway,
+// which goes on with what it has; and one that cannot be read for a moment is looked at again, as what
+// discovery tells at its new address counts as told soon after.
+class Reconfiguration {
+ public:
+  Reconfiguration(boost::asio::io_context& io, boost::asio::signal_set& hangup,
+                  cottonroad::net::Driver& driver)
+      : hangup_(hangup), driver_(driver), timer_(io) {}
+
+  void wait() {
+    hangup_.async_wait([this](const boost::system::error_code& ec, int) {
+      if (ec) return;
+      follow(kTries);
+      wait();
+    });
+  }
+
+ private:
+  static constexpr int kTries = 20;
+  static constexpr std::chrono::milliseconds kAgain{100};
+
+  void follow(int tries) {
+    timer_.cancel();
     try {
       const auto config = read_config();
-      driver.follow(config);
+      driver_.follow(config);
       std::cerr << config.name << ": configuration read again\n";
     } catch (const std::exception& e) {
-      std::cerr << "hangup: " << e.what() << '\n';
+      if (tries == kTries) std::cerr << "hangup: " << e.what() << '\n';
+      if (tries <= 1) return;
+      timer_.expires_after(kAgain);
+      timer_.async_wait([this, tries](const boost::system::error_code& ec) {
+        if (!ec) follow(tries - 1);
+      });
     }
-    follow_on_hangup(hangup, driver);
-  });
-}
+  }
+
+  boost::asio::signal_set& hangup_;
+  cottonroad::net::Driver& driver_;
+  boost::asio::steady_timer timer_;
+};
 
 // Danger: an exception that leaves the loop would take all held requests with it.
 void run(boost::asio::io_context& io) {
@@ -72,7 +101,8 @@
       std::cerr << config.name << ": draining\n";
       driver.drain([&] { io.stop(); });
     });
-    follow_on_hangup(hangup, driver);
+    Reconfiguration reconfiguration(io, hangup, driver);
+    reconfiguration.wait();
     driver.when_listening([&] { std::cerr << config.name << ": ready\n"; });
     run(io);
   } catch (const std::exception& e) {
--- a/tests/net/process.hpp
+++ b/tests/net/process.hpp
@@ -106,8 +106,9 @@
     ::waitpid(pid_, nullptr, 0);
     pid_ = 0;
   }
+  void replace_config(const std::string& config) { std::ofstream(path_, std::ios::trunc) << config; }
   void reconfigure(const std::string& config) {
-    std::ofstream(path_, std::ios::trunc) << config;
+    replace_config(config);
     ::kill(pid_, SIGHUP);
   }
   int exit_code() {
--- a/tests/net/process_test.cpp
+++ b/tests/net/process_test.cpp
@@ -99,6 +99,19 @@
 #endif
 }
 
+TEST(Process, AConfigurationThatCannotBeReadForAMomentIsFollowedAfterIt) {
+  asio::io_context io;
+  FakeServer server(io);
+  FakeDiscovery before(io), after(io);
+  const auto port = free_port(io);
+  Process p(config(port, server, before));
+  ASSERT_NE(p.log_until(": ready").find(": ready"), std::string::npos);
+  p.reconfigure("{");
+  ASSERT_NE(p.log_until("hangup").find("hangup"), std::string::npos);
+  p.replace_config(config(port, server, after));  // with no further signal
+  EXPECT_TRUE(until(io, [&] { return after.asked.size() == 1; }));
+}
+
 struct Usage {
   double cpu_seconds = 0, megabytes = 0;
 };
