--- a/review/2/case2.cpp
+++ b/review/2/case2.cpp
@@ -1,4 +1,4 @@
-// Many clients with bodies of the usual size, on a gateway with little memory. See claim.txt.
+// Many slow clients with bodies of the usual greatest size, on a gateway with little memory. See claim.txt.
 #include "standins.hpp"
 
 using namespace review;
@@ -6,11 +6,16 @@
 namespace {
 
 constexpr int kServers = 9;
-constexpr int kClients = 320;    // connections of clients; a third of the 1,024 descriptors are 341
+constexpr int kClients = 300;    // connections of clients; a third of the 1,024 descriptors are 341
 constexpr int kMemoryMb = 32;    // the least that the pages give
-constexpr int kPauseMs = 3000;   // of a client between two requests: about 100 requests a second in all
 constexpr int kLatencyMs = 100;  // of a booking server
 constexpr int kDurationMs = 25'000;
+constexpr std::size_t kLongBody = 64'000;  // bytes; the pages allow 64 KiB
+constexpr std::size_t kShortBody = 300;    // without the disruption
+constexpr std::size_t kPace = 80'000;      // bytes per second that a client writes and reads; at least 64 kB
+constexpr int kStepMs = 100;               // between two pieces
+constexpr int kPauseMs = 100;              // of a client between two requests
+constexpr int kCalmPauseMs = 1700;         // the same without the disruption, for as many requests a second
 
 // What the process holds for itself, without its program and libraries, in kB.
 long private_memory_kb(pid_t pid) {
@@ -25,7 +30,8 @@
 
 int main(int argc, char** argv) {
   if (argc != 3) return 2;
-  const std::size_t body_size = trouble() ? 64'000 : 300;  // bytes; the pages allow 64 KiB
+  const std::size_t body_size = trouble() ? kLongBody : kShortBody;
+  const int pause_ms = trouble() ? kPauseMs : kCalmPauseMs;
   Record record(argv[2]);
   Ledger ledger;
   Discovery discovery;
@@ -56,7 +62,7 @@
     clients.emplace_back([&, client] {
       char customer[32];
       std::snprintf(customer, sizeof customer, "00000000b4d6%04x", static_cast<unsigned>(client));
-      sleep_ms(kPauseMs * client / kClients);
+      sleep_ms(kCalmPauseMs * client / kClients);
       int fd = -1;
       std::unique_ptr<HttpReader> reader;
       while (!is_over) {
@@ -64,11 +70,17 @@
           fd = connect_to(gateways[0]->port);
           if (fd < 0) break;
           reader = std::make_unique<HttpReader>(fd);
+          reader->pace = kPace;
         }
         const std::string id = new_id();
         ++requests;
         ++open;
-        write_all(fd, booking_request(ledger, id, customer, answer_body("client", id, body_size)));
+        const std::string text = booking_request(ledger, id, customer, answer_body("client", id, body_size));
+        constexpr std::size_t kPiece = kPace * kStepMs / 1000;
+        for (std::size_t at = 0; at < text.size(); at += kPiece) {
+          if (at > 0) sleep_ms(kStepMs);
+          write_all(fd, text.substr(at, kPiece));
+        }
         Message answer;
         const ReadEnd end = reader->read(answer, steady_ms() + 5500);
         --open;
@@ -82,7 +94,7 @@
           ::close(fd);
           fd = -1;
         }
-        for (int i = 0; i < kPauseMs / 100 && !is_over; ++i) sleep_ms(100);
+        for (int i = 0; i < pause_ms / 100 && !is_over; ++i) sleep_ms(100);
       }
       if (fd >= 0) ::close(fd);
     });
