Send a streamed body on one attempt only, and stream from one

What callers saw: with hedging allowed (MayDuplicate), a booking over 64 KiB that was hedged reached a second booking server with the same path, ID and key and an empty body, which no client sent. A long response to a hedged request was mixed from two booking servers or cut off.

Cause: a streamed body is not kept, so the first attempt that takes a part of it is the only one that can send it. SlowAttemptCheck::hedge did not ask, and RequestForwarder::send_attempt neither; the second RequestWriter found the shared BodyUpload empty and finished and wrote the end of the body. On the way back RequestForwarder knew that a response was streamed but not from which attempt, and the engine cancelled the streaming attempt when another ended.

Change: AttemptDispatcher::may_send allows a request with a streamed body one attempt in flight, for hedges, retries and the queue alike; RequestForwarder refuses an attempt that cannot send the body from its first byte. The record names the streaming attempt; only that one feeds, ends or aborts the response, and the bytes of another are read and dropped. The engine cancels the other attempts when a response begins, never the streaming one. Once a request is answered, attempts that are not written yet are cancelled.

--- a/src/decision/attempt_dispatcher.cpp
+++ b/src/decision/attempt_dispatcher.cpp
@@ -44,6 +44,7 @@
 
 bool AttemptDispatcher::may_send(const Request& request) const {
   const Settings& settings = context_.settings();
+  if (request.is_body_streamed && request.attempts_in_flight > 0) return false;
   return int(request.attempts.size()) < settings.max_attempts &&
          request.deadline - context_.now() > settings.tick;
 }
--- a/src/decision/attempt_dispatcher.hpp
+++ b/src/decision/attempt_dispatcher.hpp
@@ -17,7 +17,8 @@
                     const LatencyModel& latencies, RetryBudget& retry_budget);
 
   // Sends the next attempt. Returns false and sends nothing if the request has no attempts or time left, if
-  // no allowed endpoint has capacity, or if its first attempt would exceed the hard limit.
+  // an attempt in flight may already have taken a part of its streamed body, if no allowed endpoint has
+  // capacity, or if its first attempt would exceed the hard limit.
   bool send(Request& request);
   // Returns whether there is spare endpoint capacity for optional work: excess requests and hedged attempts.
   bool has_spare_capacity();
--- a/src/decision/attempt_events.cpp
+++ b/src/decision/attempt_events.cpp
@@ -34,7 +34,7 @@
 void AttemptEventHandler::on_response_started(const ResponseStarted& event) {
   Request* request = requests_.find(event.id);
   if (request == nullptr) return;
-  request->state = RequestState::kFinished;  // this response is the final one
+  completion_.finish_with_response_of(*request, event.attempt);
   Attempt* attempt = find_in_flight(*request, event.attempt);
   if (attempt == nullptr || attempt->result_recorded || event.duration <= 0) return;
   attempt->result_recorded = true;
@@ -67,7 +67,8 @@
                      .duration = event.duration,
                      .billed_units = event.billed_units,
                      .load = event.load});
-  if (event.request_finished) completion_.finish(*request);
+  // Finishing it again would cancel an attempt whose response is being forwarded.
+  if (event.request_finished && !request->is_finished()) completion_.finish(*request);
   if (!request->is_finished() && request->attempts_in_flight == 0)
     retries_.retry_or_complete(*request, *attempt, event.replayable);
   requests_.erase_if_complete(*request);
--- a/src/decision/request_completion.cpp
+++ b/src/decision/request_completion.cpp
@@ -26,9 +26,19 @@
 
 void RequestCompletion::finish(Request& request) {
   request.state = RequestState::kFinished;
+  for (int i = 0; i < int(request.attempts.size()); ++i) cancel_attempt_if_in_flight(request, i);
+}
+
+void RequestCompletion::finish_with_response_of(Request& request, int attempt_index) {
+  request.state = RequestState::kFinished;
+  for (int i = 0; i < int(request.attempts.size()); ++i)
+    if (i != attempt_index) cancel_attempt_if_in_flight(request, i);
+}
+
+void RequestCompletion::cancel_attempt_if_in_flight(const Request& request, int attempt_index) {
   if (!context_.settings().allow_cancel || request.request_class->streamed) return;
-  for (std::size_t i = 0; i < request.attempts.size(); ++i)
-    if (request.attempts[i].in_flight) context_.emit(CancelAttempt{request.id, int(i)});
+  if (request.attempts[std::size_t(attempt_index)].in_flight)
+    context_.emit(CancelAttempt{request.id, attempt_index});
 }
 
 }  // namespace quota_gateway::decision
--- a/src/decision/request_completion.hpp
+++ b/src/decision/request_completion.hpp
@@ -19,10 +19,15 @@
   void reject(Request& request, Duration retry_after);
   // Rejects or fails an unfinished request that no endpoint will respond to.
   void reject_or_fail(Request& request);
-  // Marks the request as finished and cancels its other attempts.
+  // Marks the request as finished and cancels its attempts in flight.
   void finish(Request& request);
+  // Marks the request as finished by the response that is being forwarded from one of its attempts, and
+  // cancels the others.
+  void finish_with_response_of(Request& request, int attempt_index);
 
  private:
+  void cancel_attempt_if_in_flight(const Request& request, int attempt_index);
+
   DecisionContext& context_;
   const LatencyModel& latencies_;
   RejectionLog& rejections_;
--- a/src/decision/request_factory.cpp
+++ b/src/decision/request_factory.cpp
@@ -27,6 +27,7 @@
       request_class.priority_weight * plan.priority_factor * event.units / expected_latency;
   request.arrived_at = context_.now();
   request.body_pending = event.body_pending;
+  request.is_body_streamed = event.body_pending;
   request.deadline =
       event.body_pending ? event.deadline : useful_deadline(request_class, event.deadline, context_.now());
   return request;
--- a/src/decision/request_state.hpp
+++ b/src/decision/request_state.hpp
@@ -46,6 +46,8 @@
   RequestState state = RequestState::kActive;
   bool is_excess = false;     // forwarded beyond its customer's quota
   bool body_pending = false;  // incomplete, so endpoints cannot work on it yet
+  // The body is forwarded as it arrives and not kept, so no two attempts can both send it.
+  bool is_body_streamed = false;
   int attempts_in_flight = 0;
   std::vector<Attempt> attempts;
 
--- a/src/runtime/request_forwarder.cpp
+++ b/src/runtime/request_forwarder.cpp
@@ -82,23 +82,23 @@
 void RequestForwarder::on_client_disconnected(RequestId id) {
   RequestRecord* request = requests_.find(id);
   if (request == nullptr) return;
-  const bool is_streaming = request->is_streamed() && request->attempts.back().in_flight;
+  const bool is_streaming = request->is_streamed() && request->attempt(request->streaming_attempt).in_flight;
   if (request->is_answered() && !is_streaming) return;
   decision_loop_.push(RequestCancelled{std::to_string(id)});
   if (is_streaming) {
     cancel_response(*request);
-    return;
+  } else {
+    request->response = ResponseState::kClosed;
+    --requests_in_progress_;
   }
-  request->response = ResponseState::kClosed;
-  --requests_in_progress_;
-  // Attempts that no endpoint can have started are cancelled even if the settings do not allow cancelling.
   cancel_unwritten_attempts(*request, Outcome::kNotSent);
   requests_.retire_if_finished(*request);
 }
 
 void RequestForwarder::on_writable(RequestId id) {
   const RequestRecord* request = requests_.find(id);
-  if (request != nullptr && request->is_streamed()) upstream_.resume_reading({id, request->last_attempt()});
+  if (request != nullptr && request->is_streamed())
+    upstream_.resume_reading({id, request->streaming_attempt});
 }
 
 // ---- Deadlines ------------------------------------------------------------------------------------------
@@ -138,7 +138,7 @@
 void RequestForwarder::on_attempt_timeout(AttemptKey key) {
   RequestRecord* request = requests_.find(key.request_id);
   if (request == nullptr || !request->attempt(key.attempt).in_flight) return;
-  if (request->is_streamed()) {
+  if (request->is_streamed_from(key.attempt)) {
     const TimePoint last_progress_at = std::max(request->deadline, upstream_.last_progress_at(key));
     const TimePoint stalled_at = last_progress_at + kStreamStallTimeout;
     if (timers_.now() < stalled_at) {
@@ -158,6 +158,7 @@
   if (request == nullptr || request->is_answered()) return;
   const AttemptRecord& attempt = request->attempt(key.attempt);
   request->response = ResponseState::kStreamed;
+  request->streaming_attempt = key.attempt;
   // An endpoint may respond before it has received the complete body. The client's timeout then starts now.
   if (request->is_uploading()) {
     set_deadline(*request, timers_.now());
@@ -170,11 +171,17 @@
                                       .billed_units = head.billed_units,
                                       .load = head.load});
   client_listener_.start_response(request->client_id, length);
+  cancel_unwritten_attempts(*request, Outcome::kNotSent);
 }
 
 void RequestForwarder::on_response_chunk(AttemptKey key, const std::string& bytes) {
   const RequestRecord* request = requests_.find(key.request_id);
-  if (request != nullptr && request->is_streamed()) client_listener_.write_chunk(request->client_id, bytes);
+  if (request != nullptr && request->is_streamed_from(key.attempt)) {
+    client_listener_.write_chunk(request->client_id, bytes);
+  } else {
+    // The request was answered by another attempt. The rest of this response is read and dropped.
+    upstream_.resume_reading(key);
+  }
 }
 
 void RequestForwarder::on_attempt_ended(AttemptKey key, AttemptResult result) {
@@ -193,16 +200,19 @@
   ended.duration = timers_.now() - attempt.sent_at;
   ended.load = result.load;
   ended.billed_units = result.billed_units;
-  ended.replayable = !request->outgoing.upload || !request->outgoing.upload->is_started();
-  end_response(*request, result);
+  ended.replayable = request->is_replayable();
+  end_response(*request, key.attempt, result);
   ended.request_finished = request->is_answered();
   decision_loop_.push(std::move(ended));
+  // Attempts that no endpoint can have started are cancelled even if the settings do not allow cancelling.
+  if (request->is_answered()) cancel_unwritten_attempts(*request, Outcome::kNotSent);
   requests_.retire_if_finished(*request);
 }
 
 // Sends, completes or aborts the client's response, according to the result of the attempt that has ended. A
-// failed attempt without a streamed response leaves the request pending.
-void RequestForwarder::end_response(RequestRecord& request, AttemptResult& result) {
+// failed attempt without a streamed response leaves the request pending. An attempt has no effect on a
+// response that is streamed from another one.
+void RequestForwarder::end_response(RequestRecord& request, int attempt, AttemptResult& result) {
   const bool is_complete = result.outcome == Outcome::kOk;
   if (!request.is_streamed()) {
     if (!is_complete) return;
@@ -212,6 +222,7 @@
     respond(request, response);
     return;
   }
+  if (!request.is_streamed_from(attempt)) return;
   count_response(request, is_complete ? kStatusOk : kStatusBadGateway);
   if (is_complete) {
     client_listener_.finish_response(request.client_id);
@@ -221,7 +232,7 @@
 }
 
 void RequestForwarder::cancel_response(const RequestRecord& request) {
-  const AttemptKey key{request.id, request.last_attempt()};
+  const AttemptKey key{request.id, request.streaming_attempt};
   upstream_.cancel(key);
   on_attempt_ended(key, result_without_response(Outcome::kCancelled));
 }
@@ -254,8 +265,10 @@
 }
 
 // Returns whether the latest attempt may be sent. The client may have disconnected since the batch of events.
+// A streamed body is sent by one attempt at a time, and only from its first byte.
 bool RequestForwarder::is_attempt_allowed(const RequestRecord& request) const {
-  if (request.is_answered()) return false;
+  if (request.is_answered() || !request.is_replayable()) return false;
+  if (request.attempts_in_flight > 1 && request.outgoing.upload) return false;
   if (request.attempts_in_flight > 1 && !allow_hedging_) return false;
   return int(request.attempts.size()) <= max_attempts_;
 }
--- a/src/runtime/request_forwarder.hpp
+++ b/src/runtime/request_forwarder.hpp
@@ -72,7 +72,7 @@
   [[nodiscard]] bool is_attempt_allowed(const RequestRecord& request) const;
   void cancel_unwritten_attempts(const RequestRecord& request, Outcome outcome);
   void cancel_response(const RequestRecord& request);
-  void end_response(RequestRecord& request, AttemptResult& result);
+  void end_response(RequestRecord& request, int attempt, AttemptResult& result);
   void respond(RequestRecord& request, const Response& response);
   void fail(RequestRecord& request);
   void count_response(const RequestRecord& request, int status);
--- a/src/runtime/request_table.cpp
+++ b/src/runtime/request_table.cpp
@@ -8,6 +8,8 @@
 
 bool RequestRecord::is_uploading() const { return outgoing.upload && !outgoing.upload->is_finished(); }
 
+bool RequestRecord::is_replayable() const { return !outgoing.upload || !outgoing.upload->is_started(); }
+
 RequestRecord& RequestTable::create() {
   const RequestId id = ++last_id_;
   RequestRecord& request = records_[id];
--- a/src/runtime/request_table.hpp
+++ b/src/runtime/request_table.hpp
@@ -37,13 +37,18 @@
   int attempts_in_flight = 0;
   bool last_attempt_timed_out = false;
   ResponseState response = ResponseState::kPending;
+  int streaming_attempt = -1;  // index of the attempt whose response is forwarded in chunks; -1 if none
 
   // Returns whether the request needs no further response: its final response has been sent or has started,
   // or the client has disconnected.
   [[nodiscard]] bool is_answered() const { return response != ResponseState::kPending; }
   [[nodiscard]] bool is_streamed() const { return response == ResponseState::kStreamed; }
+  // Returns whether the response of the attempt is the one that is forwarded in chunks.
+  [[nodiscard]] bool is_streamed_from(int index) const { return is_streamed() && index == streaming_attempt; }
   // Returns whether the body is still being received from the client.
   [[nodiscard]] bool is_uploading() const;
+  // Returns whether a new attempt can send the whole body: no attempt has taken a part of it.
+  [[nodiscard]] bool is_replayable() const;
   [[nodiscard]] AttemptRecord& attempt(int index) { return attempts.at(std::size_t(index)); }
   // Returns the index of the latest attempt, or -1 if there is none.
   [[nodiscard]] int last_attempt() const { return int(attempts.size()) - 1; }
