Free and count the memory of all connection buffers

What callers saw: with many slow clients and long bodies a gateway with 32 MB passed its limit within seconds and was killed; all open requests were lost. Each connection that had carried a long message kept some 130 kB while idle.

Cause: `buffer_ = {}` on a std::string keeps its memory, as clear() and erase() do, on both sides of the gateway. And BodyBudget counted sizes of some buffers instead of the memory of all: neither slack, unparsed input, heads, the copy of the body that each attempt held until its response, nor the parts of a stream that were being written.

All buffers of client and endpoint connections use it; heads and arrival times are counted too. The attempts of a request share its body and release it with their last byte. HeapTrimmer returns freed memory to the system, as the allocator keeps what is not at the end of the heap. Arrival times of unparsed input are recorded once in 5 ms, always the earlier one, instead of once for each read.

--- a/include/quota_gateway/events.hpp
+++ b/include/quota_gateway/events.hpp
@@ -71,8 +71,8 @@
   int gateway_set_size = 1;     // gateways that this customer may use; 0: all
   int first_gateway_index = 0;  // first of that set; the others follow it, modulo the number of gateways
   bool client_retry = false;
-  // RequestBodyCompleted follows with the final deadline. Such a body is forwarded as it arrives and not kept,
-  // so the request has at most one attempt in flight at a time.
+  // RequestBodyCompleted follows with the final deadline. Such a body is forwarded as it arrives and not
+  // kept, so the request has at most one attempt in flight at a time.
   bool body_pending = false;
 };
 
--- a/src/client/client_session.cpp
+++ b/src/client/client_session.cpp
@@ -28,10 +28,10 @@
     : context_(context),
       client_id_(client_id),
       socket_(std::move(socket)),
-      buffer_share_(context.budget),
+      reader_(context.budget),
       stall_detector_(context.clock.now()),
-      upload_(context.clock, context.budget, buffer_share_, stall_detector_),
-      writer_(socket_, context.clock, buffer_share_, *this) {
+      upload_(context.clock, context.budget, stall_detector_),
+      writer_(socket_, context.clock, context.budget, *this) {
   error_code ignored;
   socket_.set_option(tcp::no_delay(true), ignored);
   socket_.non_blocking(true, ignored);
@@ -53,7 +53,9 @@
   do {
     if (state_ == State::kClosed) return;
     std::size_t size = 0;
-    if (!ec) size = read_available(socket_, asio::buffer(context_.read_buffer), ec);
+    if (!ec) {
+      size = read_available(socket_, asio::buffer(context_.read_buffer, context_.budget.read_size()), ec);
+    }
     if (ec == asio::error::would_block) {
       last_byte_.on_all_read(now());
       break;
@@ -183,7 +185,6 @@
   const std::uint64_t known_size =
       std::max<std::uint64_t>(reader_.content_length().value_or(0), reader_.body().size());
   if (!is_complete && known_size > context_.budget.buffered_body_limit()) return start_upload();
-  buffer_share_.set(reader_.body().size());
   if (!is_complete) send_continue_if_expected();
 }
 
@@ -195,7 +196,8 @@
     return context_.callbacks.on_body_complete(request_id_, last_byte_.last_byte_pending_since());
   }
   if (head_.is_health_check) return respond_to_health_check();
-  request_->outgoing.body = reader_.take_body();
+  if (!reader_.body().empty())
+    request_->outgoing.body = std::make_shared<const CountedBuffer>(context_.budget, reader_.take_body());
   request_->received_at = reader_.last_byte_received_at();
   report_request();
 }
--- a/src/client/client_session.hpp
+++ b/src/client/client_session.hpp
@@ -153,7 +153,6 @@
   std::size_t discarded_bytes_ = 0;  // since is_discarding_ was set or closing began
 
   // Request body.
-  BodyBudget::Share buffer_share_;  // bytes buffered of the request body or the response
   LastByteEstimator last_byte_;
   StallDetector stall_detector_;
   UploadProducer upload_;
--- a/src/client/request_reader.cpp
+++ b/src/client/request_reader.cpp
@@ -4,8 +4,6 @@
 #include <boost/beast/http/error.hpp>
 #include <utility>
 
-#include "network/body_transfer.hpp"
-
 namespace quota_gateway::net {
 namespace {
 
@@ -13,6 +11,9 @@
 using boost::system::error_code;
 
 constexpr std::uint32_t kMaxHeaderSize = 8 << 10;  // bytes
+// Unparsed bytes that follow each other within this time count as arrived together, so that a client that
+// sends them one by one does not need a record of each.
+constexpr Duration kArrivalResolution = 5'000;  // us
 
 RequestError to_request_error(error_code ec) {
   const bool is_too_large = ec == http::error::body_limit || ec == http::error::header_limit;
@@ -24,7 +25,14 @@
 void RequestReader::append(std::string_view bytes, TimePoint received_at) {
   input_.append(bytes);
   bytes_received_ += bytes.size();
-  arrivals_.push_back({bytes_received_, received_at});
+  const bool continues_last = !arrivals_.empty() && arrivals_.back().stream_end > bytes_parsed_ &&
+                              received_at - arrivals_.back().received_at < kArrivalResolution;
+  if (continues_last) {
+    arrivals_.back().stream_end = bytes_received_;
+  } else {
+    arrivals_.push_back({bytes_received_, received_at});
+    arrivals_share_.set(arrivals_.capacity() * sizeof(Arrival));
+  }
 }
 
 bool RequestReader::is_input_oversized() const { return input_.size() > kMaxHeaderSize; }
@@ -37,11 +45,16 @@
   is_head_complete_ = false;
 }
 
+void RequestReader::end_request() {
+  parser_.reset();
+  head_memory_.release();
+}
+
 RequestReader::Progress RequestReader::parse_some() {
   Progress progress;
   error_code ec;
   const std::size_t previous_body_size = body_.size();
-  const std::size_t consumed = feed_parser(*parser_, input_, body_, ec);
+  const std::size_t consumed = feed_parser(*parser_, input_.bytes(), body_, ec);
   progress.body_bytes = body_.size() - previous_body_size;
   consume(consumed);
   if (ec && ec != http::error::need_more) {
@@ -50,12 +63,13 @@
   }
   progress.head_completed = parser_->is_header_done() && !is_head_complete_;
   is_head_complete_ = parser_->is_header_done();
+  if (progress.head_completed) head_memory_.count(parser_->get());
   progress.needs_more_input = ec == http::error::need_more || consumed == 0;
   return progress;
 }
 
 void RequestReader::consume(std::size_t size) {
-  input_.erase(0, size);
+  input_.remove_prefix(size);
   bytes_parsed_ += size;
   while (arrivals_.size() > 1 && arrivals_.front().stream_end < bytes_parsed_)
     arrivals_.erase(arrivals_.begin());
@@ -87,6 +101,6 @@
   return *remaining;
 }
 
-std::string RequestReader::take_body() { return std::exchange(body_, {}); }
+std::string RequestReader::take_body() { return body_.take(); }
 
 }  // namespace quota_gateway::net
--- a/src/client/request_reader.hpp
+++ b/src/client/request_reader.hpp
@@ -9,6 +9,7 @@
 #include <vector>
 
 #include "client/client_request.hpp"
+#include "network/body_transfer.hpp"
 #include "quota_gateway/time.hpp"
 
 namespace quota_gateway::net {
@@ -34,6 +35,10 @@
 // caller takes or clears it.
 class RequestReader {
  public:
+  // The memory of the buffers counts against `budget`.
+  explicit RequestReader(BodyBudget& budget)
+      : input_(budget), body_(budget), arrivals_share_(budget), head_memory_(budget) {}
+
   // The result of one parse_some().
   struct Progress {
     bool head_completed = false;    // the head became complete in this call
@@ -53,7 +58,7 @@
 
   // Begins a request. parse_some() may be called from now until end_request().
   void begin_request();
-  void end_request() { parser_.reset(); }
+  void end_request();
   [[nodiscard]] bool is_in_request() const { return parser_.has_value(); }
   // Parses as much of the input as the parser accepts in one call.
   Progress parse_some();
@@ -72,7 +77,7 @@
   // with the end of the previous request.
   [[nodiscard]] TimePoint last_byte_received_at() const { return arrivals_.front().received_at; }
 
-  [[nodiscard]] const std::string& body() const { return body_; }
+  [[nodiscard]] const std::string& body() const { return body_.bytes(); }
   [[nodiscard]] std::string take_body();
   void clear_body() { body_.clear(); }
 
@@ -85,12 +90,14 @@
   // Removes the first `size` bytes of the input, which have been parsed.
   void consume(std::size_t size);
 
-  std::string input_;
-  std::string body_;
+  CountedBuffer input_;
+  CountedBuffer body_;
   std::vector<Arrival> arrivals_;  // of all unparsed bytes and of the last parsed byte
+  BodyBudget::Share arrivals_share_;
   std::uint64_t bytes_received_ = 0;
   std::uint64_t bytes_parsed_ = 0;
   std::optional<RequestParser> parser_;
+  HeadMemory head_memory_;
   bool is_head_complete_ = false;
 };
 
--- a/src/client/response_writer.cpp
+++ b/src/client/response_writer.cpp
@@ -29,10 +29,12 @@
   return text.data();
 }
 
-std::string chunk_size_line(std::size_t size) {
-  std::array<char, 24> text{};
-  std::snprintf(text.data(), text.size(), "%zx\r\n", size);
-  return text.data();
+std::string frame_as_chunk(const std::string& bytes) {
+  std::array<char, 24> header{};
+  std::snprintf(header.data(), header.size(), "%zx\r\n", bytes.size());
+  std::string chunk;
+  chunk.reserve(header.size() + bytes.size() + 2);
+  return chunk.append(header.data()).append(bytes).append("\r\n");
 }
 
 std::string serialize(const Response& response, bool close) {
@@ -63,9 +65,9 @@
   return http_version >= kHttp11 ? ResponseFraming::kChunked : ResponseFraming::kUntilClose;
 }
 
-ResponseWriter::ResponseWriter(tcp::socket& socket, const Clock& clock, BodyBudget::Share& buffer_share,
+ResponseWriter::ResponseWriter(tcp::socket& socket, const Clock& clock, BodyBudget& budget,
                                ResponseWriterOwner& owner)
-    : socket_(socket), clock_(clock), buffer_share_(buffer_share), owner_(owner) {}
+    : socket_(socket), clock_(clock), owner_(owner), buffer_(budget), next_buffer_(budget) {}
 
 void ResponseWriter::send_continue() {
   unsent_continue_ = "HTTP/1.1 100 Continue\r\n\r\n";
@@ -88,16 +90,16 @@
 }
 
 void ResponseWriter::start_write(std::string bytes) {
-  buffer_ = std::exchange(unsent_continue_, {}) + std::move(bytes);
+  buffer_.assign(std::exchange(unsent_continue_, {}) + std::move(bytes));
   flush();
 }
 
 void ResponseWriter::write_chunk(const std::string& bytes) {
   if (state_ != State::kStreaming) return;
   if (framing_ == ResponseFraming::kChunked) {
-    next_buffer_.append(chunk_size_line(bytes.size())).append(bytes).append("\r\n");
+    next_buffer_.append(frame_as_chunk(bytes));
   } else {
-    next_buffer_ += bytes;
+    next_buffer_.append(bytes);
   }
   flush_chunks();
 }
@@ -105,7 +107,7 @@
 void ResponseWriter::finish_stream() {
   if (state_ != State::kStreaming) return;
   state_ = State::kCompleting;
-  if (framing_ == ResponseFraming::kChunked) next_buffer_ += "0\r\n\r\n";
+  if (framing_ == ResponseFraming::kChunked) next_buffer_.append("0\r\n\r\n");
   if (is_write_pending_) return;
   if (next_buffer_.empty()) {
     complete();
@@ -120,20 +122,19 @@
 
 void ResponseWriter::flush_chunks() {
   if (is_write_pending_ || next_buffer_.empty()) return;
-  buffer_ = std::exchange(next_buffer_, {});
+  buffer_.assign(next_buffer_.take());
   flush();
 }
 
 void ResponseWriter::flush() {
   is_write_pending_ = true;
   last_progress_at_ = clock_.now();
-  buffer_share_.set(buffer_.size() + next_buffer_.size());
   write_some(0);
 }
 
 void ResponseWriter::write_some(std::size_t offset) {
   error_code ec;
-  const std::size_t written = write_available(socket_, asio::buffer(buffer_) + offset, ec);
+  const std::size_t written = write_available(socket_, asio::buffer(buffer_.bytes()) + offset, ec);
   if (ec == asio::error::would_block) {
     socket_.async_wait(tcp::socket::wait_write, [this, offset, owner = owner_.retain()](error_code failure) {
       if (!is_active()) return;
@@ -153,15 +154,13 @@
   last_progress_at_ = clock_.now();
   if (offset < buffer_.size()) return write_some(offset);
   is_write_pending_ = false;
+  buffer_.clear();
   if (!next_buffer_.empty()) return flush_chunks();
   if (state_ == State::kCompleting) return complete();
-  buffer_share_.set(0);
   owner_.on_chunks_written();
 }
 
 void ResponseWriter::complete() {
-  buffer_ = {};
-  buffer_share_.set(0);
   state_ = State::kIdle;
   owner_.on_response_written();
 }
--- a/src/client/response_writer.hpp
+++ b/src/client/response_writer.hpp
@@ -40,11 +40,11 @@
   virtual void on_write_failed() = 0;
 };
 
-// Writes one response at a time, either complete or as a stream of chunks. Bytes that the kernel has not
-// accepted are counted in `buffer_share`.
+// Writes one response at a time, either complete or as a stream of chunks. The memory of bytes that the
+// kernel has not accepted counts against `budget`.
 class ResponseWriter {
  public:
-  ResponseWriter(boost::asio::ip::tcp::socket& socket, const Clock& clock, BodyBudget::Share& buffer_share,
+  ResponseWriter(boost::asio::ip::tcp::socket& socket, const Clock& clock, BodyBudget& budget,
                  ResponseWriterOwner& owner);
 
   // Sends 100 Continue to a client that expects it before it sends its body. Bytes that the kernel does not
@@ -83,13 +83,12 @@
 
   boost::asio::ip::tcp::socket& socket_;
   const Clock& clock_;
-  BodyBudget::Share& buffer_share_;
   ResponseWriterOwner& owner_;
   State state_ = State::kIdle;
   ResponseFraming framing_ = ResponseFraming::kContentLength;
   std::string unsent_continue_;  // rest of a 100 Continue that the kernel has not accepted
-  std::string buffer_;           // the data of the pending write
-  std::string next_buffer_;      // chunks added during the pending write
+  CountedBuffer buffer_;         // the data of the pending write
+  CountedBuffer next_buffer_;    // chunks added during the pending write
   bool is_write_pending_ = false;
   TimePoint last_progress_at_ = 0;  // of the pending write
 };
--- a/src/client/upload_producer.cpp
+++ b/src/client/upload_producer.cpp
@@ -4,15 +4,13 @@
 
 namespace quota_gateway::net {
 
-UploadProducer::UploadProducer(const Clock& clock, const BodyBudget& budget, BodyBudget::Share& buffer_share,
-                               StallDetector& stall_detector)
-    : clock_(clock), budget_(budget), buffer_share_(buffer_share), stall_detector_(stall_detector) {}
+UploadProducer::UploadProducer(const Clock& clock, BodyBudget& budget, StallDetector& stall_detector)
+    : clock_(clock), budget_(budget), stall_detector_(stall_detector) {}
 
 std::shared_ptr<BodyUpload> UploadProducer::start(std::optional<std::uint64_t> length,
                                                   const std::string& body, Callbacks callbacks) {
-  upload_ = std::make_shared<BodyUpload>(length);
+  upload_ = std::make_shared<BodyUpload>(budget_, length);
   upload_->append(body);
-  buffer_share_.set(upload_->size());
   upload_->on_consumer_ready = std::move(callbacks.on_consumer_ready);
   on_drained_ = std::move(callbacks.on_drained);
   return upload_;
@@ -25,19 +23,16 @@
 
 void UploadProducer::on_drained() {
   stall_detector_.on_backpressure_ended(clock_.now());
-  buffer_share_.set(0);
   await_drained();
 }
 
 void UploadProducer::append(const std::string& data) {
   upload_->append(data);
-  buffer_share_.set(upload_->size());
   report_backpressure();
 }
 
 void UploadProducer::finish() {
   const std::shared_ptr<BodyUpload> upload = release();
-  buffer_share_.set(0);
   upload->finish();
 }
 
--- a/src/client/upload_producer.hpp
+++ b/src/client/upload_producer.hpp
@@ -13,16 +13,15 @@
 
 namespace quota_gateway::net {
 
-// Appends a request body to a BodyUpload as it arrives, and reports the buffered bytes to the memory budget
-// and the backpressure of a full buffer to the stall detector. At most one upload is active at a time.
+// Appends a request body to a BodyUpload as it arrives, and reports the backpressure of a full buffer to the
+// stall detector. At most one upload is active at a time.
 class UploadProducer {
  public:
   struct Callbacks {
     std::function<void()> on_consumer_ready;  // an endpoint connection waits for data; called once
     std::function<void()> on_drained;         // the endpoint connection took all buffered data
   };
-  UploadProducer(const Clock& clock, const BodyBudget& budget, BodyBudget::Share& buffer_share,
-                 StallDetector& stall_detector);
+  UploadProducer(const Clock& clock, BodyBudget& budget, StallDetector& stall_detector);
 
   // Begins an upload with the part of the body that has arrived, and returns the consumer's end of it.
   // `length` is std::nullopt for a chunked body. callbacks.on_drained is called only after await_drained().
@@ -50,8 +49,7 @@
   std::shared_ptr<BodyUpload> release();
 
   const Clock& clock_;
-  const BodyBudget& budget_;
-  BodyBudget::Share& buffer_share_;
+  BodyBudget& budget_;
   StallDetector& stall_detector_;
   std::shared_ptr<BodyUpload> upload_;
   std::function<void()> on_drained_;
--- a/src/network/body_parsing.hpp
+++ b/src/network/body_parsing.hpp
@@ -9,22 +9,22 @@
 #include <string>
 #include <vector>
 
-namespace quota_gateway::net {
+#include "network/body_budget.hpp"
+#include "network/counted_buffer.hpp"
 
-// Maximum size of one read from a socket. All connections of a module share one buffer of this size.
-constexpr std::size_t kReadSize = 32 << 10;  // bytes
+namespace quota_gateway::net {
 
 // Passes `bytes` to the parser of a message with a buffer_body and appends the decoded body data to `body`.
 // Returns how many bytes the parser consumed.
 template <typename Parser>
-std::size_t feed_parser(Parser& parser, const std::string& bytes, std::string& body,
+std::size_t feed_parser(Parser& parser, const std::string& bytes, CountedBuffer& body,
                         boost::system::error_code& ec) {
   static thread_local std::vector<char> scratch(kReadSize);
   auto& destination = parser.get().body();
   destination.data = scratch.data();
   destination.size = scratch.size();
   const std::size_t consumed = parser.put(boost::asio::buffer(bytes), ec);
-  body.append(scratch.data(), scratch.size() - destination.size);
+  body.append({scratch.data(), scratch.size() - destination.size});
   if (ec == boost::beast::http::error::need_buffer) ec = {};
   return consumed;
 }
--- a/src/network/body_transfer.hpp
+++ b/src/network/body_transfer.hpp
@@ -2,6 +2,8 @@
 // uploads.
 #pragma once
 
-#include "network/body_budget.hpp"   // IWYU pragma: export
-#include "network/body_parsing.hpp"  // IWYU pragma: export
-#include "network/body_upload.hpp"   // IWYU pragma: export
+#include "network/body_budget.hpp"     // IWYU pragma: export
+#include "network/body_parsing.hpp"    // IWYU pragma: export
+#include "network/body_upload.hpp"     // IWYU pragma: export
+#include "network/counted_buffer.hpp"  // IWYU pragma: export
+#include "network/head_memory.hpp"     // IWYU pragma: export
--- a/src/network/body_upload.cpp
+++ b/src/network/body_upload.cpp
@@ -5,7 +5,7 @@
 namespace quota_gateway::net {
 
 void BodyUpload::append(const std::string& bytes) {
-  buffered_ += bytes;
+  buffered_.append(bytes);
   if (!bytes.empty()) call_once(on_data_);
 }
 
@@ -21,7 +21,7 @@
 
 std::string BodyUpload::take_data() {
   started_ = true;
-  std::string data = std::exchange(buffered_, {});
+  std::string data = buffered_.take();
   call_once(on_drained);
   return data;
 }
--- a/src/network/body_upload.hpp
+++ b/src/network/body_upload.hpp
@@ -7,6 +7,8 @@
 #include <optional>
 #include <string>
 
+#include "network/counted_buffer.hpp"
+
 namespace quota_gateway::net {
 
 // The queue between the client connection, which appends data, and the endpoint connection, which takes it.
@@ -15,8 +17,8 @@
 // never from within the call that assigns it.
 class BodyUpload {
  public:
-  // `length` in bytes; std::nullopt for a chunked body.
-  explicit BodyUpload(std::optional<std::uint64_t> length) : length_(length) {}
+  // `length` in bytes; std::nullopt for a chunked body. The buffered data counts against `budget`.
+  BodyUpload(BodyBudget& budget, std::optional<std::uint64_t> length) : length_(length), buffered_(budget) {}
 
   std::function<void()> on_consumer_ready;  // the endpoint connection waits for data
   std::function<void()> on_drained;         // all buffered data was taken
@@ -46,7 +48,7 @@
 
   const std::optional<std::uint64_t> length_;
   std::function<void()> on_data_;
-  std::string buffered_;
+  CountedBuffer buffered_;
   bool finished_ = false;
   bool started_ = false;
 };
--- a/src/network/outgoing_request.hpp
+++ b/src/network/outgoing_request.hpp
@@ -15,7 +15,7 @@
   std::string host;
   std::string trace_id;
   std::string idempotency_key;
-  std::string body;
+  std::shared_ptr<const CountedBuffer> body;  // null if there is none
   std::shared_ptr<BodyUpload> upload;  // replaces `body` if that is too large to buffer; otherwise null
 };
 
--- a/src/runtime/coordinator.cpp
+++ b/src/runtime/coordinator.cpp
@@ -51,6 +51,7 @@
       shutdown_(timers_, client_listener_, forwarder_, max_client_timeout(settings_)) {
   if (configuration.counter_address) start_counter(io, configuration);
   on_endpoint_update(configuration.initial_endpoints, EndpointListUpdate::Kind::kPersisted);
+  heap_trimmer_.start();
   disabled_endpoints_.start();
   discovery_.start();
   start_listening(configuration);
--- a/src/runtime/coordinator.hpp
+++ b/src/runtime/coordinator.hpp
@@ -19,6 +19,7 @@
 #include "runtime/configuration.hpp"
 #include "runtime/decision_loop.hpp"
 #include "runtime/graceful_shutdown.hpp"
+#include "runtime/heap_trimmer.hpp"
 #include "runtime/metrics.hpp"
 #include "runtime/request_forwarder.hpp"
 #include "runtime/timers.hpp"
@@ -72,6 +73,7 @@
   Timers timers_;
   Metrics metrics_;
   BodyBudget body_budget_;
+  HeapTrimmer heap_trimmer_{timers_, body_budget_};
   DecisionLoop decision_loop_;
   RequestForwarder forwarder_;
   Upstream upstream_;
--- a/src/upstream/connection.cpp
+++ b/src/upstream/connection.cpp
@@ -28,6 +28,7 @@
       endpoint_(std::move(endpoint)),
       address_(std::move(address)),
       socket_(context.io),
+      writer_(context.budget),
       reader_(context.budget) {}
 
 void Connection::start_attempt(AttemptKey key, const OutgoingRequest& request, TimePoint deadline) {
@@ -106,7 +107,7 @@
 // because the completion of an asynchronous write may be handled after a response or a reset, and a request
 // that may have executed would then count as not sent.
 void Connection::write_available_bytes() {
-  while (writer_.unwritten().size() > 0) {
+  while (writer_.has_unwritten_bytes()) {
     ErrorCode error;
     writer_.mark_written(write_available(socket_, writer_.unwritten(), error));
     if (!error) continue;
@@ -148,7 +149,7 @@
 
 void Connection::on_request_written() {
   state_ = State::kAwaitingResponse;
-  writer_.release_upload();
+  writer_.release();
   context_.observer.on_request_written();
 }
 
@@ -166,7 +167,9 @@
   if (state_ == State::kIdle) return context_.observer.on_idle_connection_lost(*this);
   if (is_read_paused_) return;
   std::size_t size = 0;
-  if (!error) size = read_available(socket_, asio::buffer(context_.read_buffer), error);
+  if (!error) {
+    size = read_available(socket_, asio::buffer(context_.read_buffer, context_.budget.read_size()), error);
+  }
   if (error == asio::error::would_block) return read_when_ready();
   if (error) return on_connection_lost(error);
   on_bytes_read(size);
--- a/src/upstream/request_writer.cpp
+++ b/src/upstream/request_writer.cpp
@@ -1,6 +1,7 @@
 // Serialization of requests.
 #include "upstream/request_writer.hpp"
 
+#include <algorithm>
 #include <array>
 #include <cstdio>
 #include <utility>
@@ -9,14 +10,19 @@
 namespace {
 
 constexpr std::size_t kMaxChunkHeaderSize = 24;  // bytes; a 64-bit size in hexadecimal and a line end
+// Of a head without the client's texts: the method, the names of the headers and their numbers.
+constexpr std::size_t kMaxFixedHeadSize = 192;  // bytes
 constexpr const char* kLastChunk = "0\r\n\r\n";
+constexpr std::size_t kMaxChunkTrailerSize = 7;  // bytes; a line end and the last chunk
 
 // Frames a part of the body as a chunk. Leaves an empty part empty, because an empty chunk ends the body.
-void frame_as_chunk(std::string& part) {
-  if (part.empty()) return;
+std::string frame_as_chunk(const std::string& data) {
+  if (data.empty()) return {};
   std::array<char, kMaxChunkHeaderSize> header{};
-  std::snprintf(header.data(), header.size(), "%zx\r\n", part.size());
-  part.insert(0, header.data()).append("\r\n");
+  std::snprintf(header.data(), header.size(), "%zx\r\n", data.size());
+  std::string chunk;
+  chunk.reserve(header.size() + data.size() + kMaxChunkTrailerSize);
+  return chunk.append(header.data()).append(data).append("\r\n");
 }
 
 // Returns the header that delimits the request's body, or an empty string for a GET request without a body.
@@ -26,54 +32,62 @@
     if (!length) return "\r\nTransfer-Encoding: chunked";
     return "\r\nContent-Length: " + std::to_string(*length);
   }
-  if (request.body.empty() && request.method == "GET") return {};
-  return "\r\nContent-Length: " + std::to_string(request.body.size());
+  if (!request.body && request.method == "GET") return {};
+  return "\r\nContent-Length: " + std::to_string(request.body ? request.body->size() : 0);
 }
 
 }  // namespace
 
 void RequestWriter::prepare(const OutgoingRequest& request) {
   upload_ = request.upload;
-  head_.clear();
-  head_.append(request.method).append(" ").append(request.target).append(" HTTP/1.1");
-  head_.append("\r\nHost: ").append(request.host);
-  head_.append("\r\nX-Trace-Id: ").append(request.trace_id);
-  if (!request.idempotency_key.empty()) {
-    head_.append("\r\nIdempotency-Key: ").append(request.idempotency_key);
-  }
-  part_ = body_framing_header(request);
-  part_.append("\r\n\r\n").append(request.body);
+  body_ = request.body;
+  std::string head;
+  head.reserve(request.target.size() + request.host.size() + request.trace_id.size() +
+               request.idempotency_key.size() + kMaxFixedHeadSize);
+  head.append(request.method).append(" ").append(request.target).append(" HTTP/1.1");
+  head.append("\r\nHost: ").append(request.host);
+  head.append("\r\nX-Trace-Id: ").append(request.trace_id);
+  if (!request.idempotency_key.empty()) head.append("\r\nIdempotency-Key: ").append(request.idempotency_key);
+  head.append(body_framing_header(request));
+  part_.assign(std::move(head));
 }
 
 void RequestWriter::start(Duration time_left) {
-  part_.insert(0, head_ + "\r\nX-Expires-In: " + std::to_string(time_left) + "u");
+  part_.append("\r\nX-Expires-In: " + std::to_string(time_left) + "u\r\n\r\n");
   written_size_ = 0;
   is_last_part_ = !upload_;
 }
 
 void RequestWriter::release() {
-  head_ = {};
-  part_ = {};
+  part_.clear();
+  body_.reset();
   upload_.reset();
+  written_size_ = 0;
 }
 
-boost::asio::const_buffer RequestWriter::unwritten() const {
-  return boost::asio::buffer(part_) + written_size_;
+RequestWriter::Buffers RequestWriter::unwritten() const {
+  const auto part = boost::asio::buffer(part_.bytes());
+  const auto body = body_ ? boost::asio::buffer(body_->bytes()) : boost::asio::const_buffer();
+  const std::size_t written_body_size = written_size_ - std::min(written_size_, part.size());
+  return {part + written_size_, body + written_body_size};
 }
 
 bool RequestWriter::is_waiting_for_body() const { return upload_->size() == 0 && !upload_->is_finished(); }
 
 void RequestWriter::wait_for_body(std::function<void()> on_data) {
+  part_.clear();
+  written_size_ = 0;
   upload_->wait_for_data(std::move(on_data));
 }
 
 void RequestWriter::take_next_part() {
-  part_ = upload_->take_data();
+  std::string data = upload_->take_data();
   is_last_part_ = upload_->is_finished();
   if (!upload_->length()) {
-    frame_as_chunk(part_);
-    if (is_last_part_) part_ += kLastChunk;
+    data = frame_as_chunk(data);
+    if (is_last_part_) data += kLastChunk;
   }
+  part_.assign(std::move(data));
   written_size_ = 0;
 }
 
--- a/src/upstream/response_reader.cpp
+++ b/src/upstream/response_reader.cpp
@@ -46,7 +46,8 @@
 
 }  // namespace
 
-ResponseReader::ResponseReader(BodyBudget& budget) : budget_(budget), budget_share_(budget) {}
+ResponseReader::ResponseReader(BodyBudget& budget)
+    : budget_(budget), head_memory_(budget), unparsed_(budget), body_(budget) {}
 
 void ResponseReader::start() {
   body_.clear();
@@ -57,12 +58,14 @@
 
 void ResponseReader::release() {
   parser_.reset();
-  budget_share_.set(0);
-  body_ = {};
+  head_memory_.release();
+  unparsed_.clear();
+  body_.clear();
 }
 
 void ResponseReader::expect_response() {
   parser_.emplace();
+  head_memory_.release();
   parser_->eager(true);
   parser_->header_limit(kMaxHeaderSize);
   parser_->body_limit(kMaxBodySize);
@@ -72,10 +75,11 @@
   unparsed_.append(bytes);
   while (!unparsed_.empty() && !parser_->is_done()) {
     error_code error;
-    const std::size_t consumed = feed_parser(*parser_, unparsed_, body_, error);
-    unparsed_.erase(0, consumed);
+    const std::size_t consumed = feed_parser(*parser_, unparsed_.bytes(), body_, error);
+    unparsed_.remove_prefix(consumed);
     if (error && error != http::error::need_more) return Status::kInvalid;
     if (parser_->is_header_done()) {
+      head_memory_.count(parser_->get());
       const Status status = apply_body_limits(on_started);
       if (status != Status::kIncomplete) return status;
     }
@@ -101,13 +105,11 @@
   const std::uint64_t size = std::max<std::uint64_t>(length.value_or(0), delivered_size_ + body_.size());
   if (size > kMaxBodySize) return Status::kInvalid;
   if (is_streaming_) return Status::kIncomplete;
-  budget_share_.set(body_.size());
   const bool is_complete_and_small = parser_->is_done() && size <= kBufferedBodyLimit;
   if (size <= budget_.buffered_body_limit() || is_complete_and_small) return Status::kIncomplete;
   const AttemptResult head = result_from_head(parser_->get());
   if (head.outcome != Outcome::kOk) return Status::kFailed;
   is_streaming_ = true;
-  budget_share_.set(0);
   return on_started(head, length) ? Status::kIncomplete : Status::kAborted;
 }
 
@@ -125,12 +127,12 @@
 
 std::string ResponseReader::take_streamed_bytes() {
   delivered_size_ += body_.size();
-  return std::exchange(body_, {});
+  return body_.take();
 }
 
 AttemptResult ResponseReader::take_result() {
   AttemptResult result = result_from_head(parser_->get());
-  if (result.outcome == Outcome::kOk) result.body = std::move(body_);
+  if (result.outcome == Outcome::kOk) result.body = body_.take();
   return result;
 }
 
--- a/src/upstream/response_reader.hpp
+++ b/src/upstream/response_reader.hpp
@@ -60,10 +60,10 @@
   [[nodiscard]] bool is_interim_response() const;
 
   BodyBudget& budget_;
-  BodyBudget::Share budget_share_;
   std::optional<Parser> parser_;
-  std::string unparsed_;
-  std::string body_;                  // buffered, or not yet taken for delivery to the client
+  HeadMemory head_memory_;
+  CountedBuffer unparsed_;
+  CountedBuffer body_;                // buffered, or not yet taken for delivery to the client
   std::uint64_t delivered_size_ = 0;  // bytes of the body taken for delivery to the client
   bool is_streaming_ = false;
 };
--- a/tests/support/process.hpp
+++ b/tests/support/process.hpp
@@ -99,12 +99,9 @@
     return ticks / double(::sysconf(_SC_CLK_TCK));
   }
   // Returns the resident memory of the process in kilobytes, or -1 if it is unknown.
-  long resident_kilobytes() const {
-    std::ifstream status("/proc/" + std::to_string(pid_) + "/status");
-    for (std::string line; std::getline(status, line);)
-      if (line.starts_with("VmRSS:")) return std::stol(line.substr(6));
-    return -1;
-  }
+  long resident_kilobytes() const { return status_kilobytes("VmRSS:"); }
+  // The same without the program, its libraries and other mapped files.
+  long private_kilobytes() const { return status_kilobytes("RssAnon:"); }
   // Sends SIGKILL and waits for the process to end.
   void kill() {
     ::kill(pid_, SIGKILL);
@@ -126,6 +123,13 @@
   }
 
  private:
+  long status_kilobytes(const std::string& field) const {
+    std::ifstream status("/proc/" + std::to_string(pid_) + "/status");
+    for (std::string line; std::getline(status, line);)
+      if (line.starts_with(field)) return std::stol(line.substr(field.size()));
+    return -1;
+  }
+
   std::string path_;
   pid_t pid_ = 0;
   int log_fd_ = -1;
--- a/tests/upstream/attempt_outcome_test.cpp
+++ b/tests/upstream/attempt_outcome_test.cpp
@@ -51,7 +51,7 @@
 
 TEST_F(UpstreamTest, ReportsConnectFailureWhenLostBeforeTheLastByte) {
   // The request is larger than the socket buffers. The endpoint resets the connection without reading it all.
-  request.body.assign(32 << 20, 'x');
+  request.body = std::make_shared<const CountedBuffer>(budget, std::string(32 << 20, 'x'));
   tcp::acceptor acceptor(io, {asio::ip::address_v4::loopback(), 0});
   tcp::socket peer(io);
   acceptor.async_accept(peer, [&](error_code) {
@@ -89,7 +89,7 @@
   tcp::acceptor acceptor(io, {asio::ip::address_v4::loopback(), 0});
   tcp::socket peer(io);
   acceptor.async_accept(peer, [](error_code) {});
-  request.upload = std::make_shared<BodyUpload>(10);
+  request.upload = std::make_shared<BodyUpload>(budget, 10);
   bool is_body_requested = false;
   request.upload->on_consumer_ready = [&] { is_body_requested = true; };
   create_upstream();
@@ -110,7 +110,8 @@
 }
 
 TEST_F(UpstreamTest, CancelReturnsFalseForAPartlyWrittenAttempt) {
-  request.body.assign(32 << 20, 'x');  // larger than the socket buffers; the endpoint reads nothing
+  request.body = std::make_shared<const CountedBuffer>(
+      budget, std::string(32 << 20, 'x'));  // larger than the socket buffers; the endpoint reads nothing
   tcp::acceptor acceptor(io, {asio::ip::address_v4::loopback(), 0});
   tcp::socket peer(io);
   acceptor.async_accept(peer, [](error_code) {});
--- a/tests/upstream/response_body_test.cpp
+++ b/tests/upstream/response_body_test.cpp
@@ -83,7 +83,7 @@
   tcp::socket trigger(io);
   tcp::socket trigger_peer(io);
   acceptor.async_accept(peer, [](error_code) {});
-  request.upload = std::make_shared<BodyUpload>(10);
+  request.upload = std::make_shared<BodyUpload>(budget, 10);
   bool is_body_requested = false;
   request.upload->on_consumer_ready = [&] { is_body_requested = true; };
   create_upstream();
@@ -155,6 +155,22 @@
   EXPECT_EQ(streamed_body.size(), 50'000u);
 }
 
+// Guards against an idle connection that keeps the buffers of its last request and response.
+TEST_F(UpstreamTest, IdleConnectionHoldsNoBuffers) {
+  for (const std::size_t size : {std::size_t(60'000), std::size_t(900'000)}) {
+    endpoint.on_request = [=](Peer& peer, const HttpRequest&) {
+      auto response = std::make_shared<std::string>(reply("200 OK", "", std::string(size, 'x')));
+      asio::async_write(peer.socket, asio::buffer(*response), [response](error_code, std::size_t) {});
+    };
+    create_upstream();
+    request.body = std::make_shared<const CountedBuffer>(budget, std::string(50'000, 'q'));
+    EXPECT_EQ(send_and_wait(1).outcome, Outcome::kOk);
+    EXPECT_GE(budget.take_peak_bytes(), 50'000u);
+    request.body.reset();
+    EXPECT_EQ(budget.used_bytes(), 0u) << size;
+  }
+}
+
 TEST_F(UpstreamTest, FailsAttemptOnEndlessChunkExtension) {
   EXPECT_EQ(
       outcome_of("HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n5;x=" + std::string(100'000, 'x')),
--- a/tests/upstream/upstream_fixture.hpp
+++ b/tests/upstream/upstream_fixture.hpp
@@ -66,7 +66,7 @@
                           .host = "origin.svc",
                           .trace_id = "t1",
                           .idempotency_key = "k1",
-                          .body = "hello",
+                          .body = std::make_shared<const CountedBuffer>(budget, "hello"),
                           .upload = nullptr};
 
  private:
