--- a/src/client/response_writer.cpp
+++ b/src/client/response_writer.cpp
@@ -9,6 +9,7 @@
 #include <utility>
 
 #include "client/client_timeouts.hpp"
+#include "network/chunk_framing.hpp"
 #include "network/stream_io.hpp"
 
 namespace quota_gateway::net {
@@ -29,14 +30,6 @@
   return text.data();
 }
 
-std::string frame_as_chunk(const std::string& bytes) {
-  std::array<char, 24> header{};
-  std::snprintf(header.data(), header.size(), "%zx\r\n", bytes.size());
-  std::string chunk;
-  chunk.reserve(header.size() + bytes.size() + 2);
-  return chunk.append(header.data()).append(bytes).append("\r\n");
-}
-
 std::string serialize(const Response& response, bool close) {
   const std::string reason(http::obsolete_reason(http::status(response.status)));
   std::string bytes = "HTTP/1.1 " + std::to_string(response.status) + " " + reason +
@@ -107,7 +100,7 @@
 void ResponseWriter::finish_stream() {
   if (state_ != State::kStreaming) return;
   state_ = State::kCompleting;
-  if (framing_ == ResponseFraming::kChunked) next_buffer_.append("0\r\n\r\n");
+  if (framing_ == ResponseFraming::kChunked) next_buffer_.append(kLastChunk);
   if (is_write_pending_) return;
   if (next_buffer_.empty()) {
     complete();
--- a/src/upstream/request_writer.cpp
+++ b/src/upstream/request_writer.cpp
@@ -2,28 +2,15 @@
 #include "upstream/request_writer.hpp"
 
 #include <algorithm>
-#include <array>
-#include <cstdio>
 #include <utility>
 
+#include "network/chunk_framing.hpp"
+
 namespace quota_gateway::net {
 namespace {
 
-constexpr std::size_t kMaxChunkHeaderSize = 24;  // bytes; a 64-bit size in hexadecimal and a line end
 // Of a head without the client's texts: the method, the names of the headers and their numbers.
 constexpr std::size_t kMaxFixedHeadSize = 192;  // bytes
-constexpr const char* kLastChunk = "0\r\n\r\n";
-constexpr std::size_t kMaxChunkTrailerSize = 7;  // bytes; a line end and the last chunk
-
-// Frames a part of the body as a chunk. Leaves an empty part empty, because an empty chunk ends the body.
-std::string frame_as_chunk(const std::string& data) {
-  if (data.empty()) return {};
-  std::array<char, kMaxChunkHeaderSize> header{};
-  std::snprintf(header.data(), header.size(), "%zx\r\n", data.size());
-  std::string chunk;
-  chunk.reserve(header.size() + data.size() + kMaxChunkTrailerSize);
-  return chunk.append(header.data()).append(data).append("\r\n");
-}
 
 // Returns the header that delimits the request's body, or an empty string for a GET request without a body.
 std::string body_framing_header(const OutgoingRequest& request) {
