--- a/tests/support/process.hpp
+++ b/tests/support/process.hpp
@@ -100,7 +100,9 @@
   }
   // Returns the resident memory of the process in kilobytes, or -1 if it is unknown.
   long resident_kilobytes() const { return status_kilobytes("VmRSS:"); }
-  // The same without the program, its libraries and other mapped files.
+  // Returns the highest value of resident_kilobytes() since the start of the process.
+  long peak_resident_kilobytes() const { return status_kilobytes("VmHWM:"); }
+  // Like resident_kilobytes(), without the program, its libraries and other mapped files.
   long private_kilobytes() const { return status_kilobytes("RssAnon:"); }
   // Sends SIGKILL and waits for the process to end.
   void kill() {
