Keep only the header fields that the gateway uses, and count them as they arrive

What was seen: 500 clients with unfinished heads of 1,500 to 2,000 fields of five bytes took 68.6 MB of 32 MB.

Cause: Beast's http::parser stores each field in a heap node of its own, so a field of five bytes takes some 90. The memory was counted once the head was complete, too late and in no relation to a limit that refuses anything.

Change: MessageParser derives from Beast's basic_parser and keeps the values of the few fields that the gateway reads, in one counted buffer. All fields of a head are limited to 64 KiB, what is kept of them to 8 KiB (endpoints: 16 KiB). The parser appends body data to its buffer itself, so feed_parser and its scratch buffer go, and with them HeadMemory.

--- a/src/client/client_request.cpp
+++ b/src/client/client_request.cpp
@@ -14,8 +14,6 @@
 constexpr double kMaxQuotaInfoValue = 1e6;      // larger values are reduced to this limit
 constexpr std::size_t kCustomerIdLength = 16;   // hexadecimal digits
 
-std::string_view to_view(boost::beast::string_view text) { return {text.data(), text.size()}; }
-
 // Parses a finite, non-negative number. `header` names the header field in the error.
 double parse_number(std::string_view text, const char* header) {
   double value = 0;
@@ -90,11 +88,11 @@
 
 }  // namespace
 
-ClientRequest parse_request(const RequestMessage& message, const Settings& settings) {
+ClientRequest parse_request(const RequestParser& message, const Settings& settings) {
   ClientRequest request;
   RequestArrived& arrived = request.arrived;
   OutgoingRequest& outgoing = request.outgoing;
-  const std::string_view target = to_view(message.target());
+  const std::string_view target = message.target();
   parse_path(target, arrived);
 
   const ClassSettings& request_class = find_class(settings, arrived.request_class);
@@ -102,20 +100,20 @@
   const http::verb expected_method = is_idempotent ? http::verb::get : http::verb::post;
   if (message.method() != expected_method) throw BadRequest("the method does not fit the class");
 
-  outgoing.trace_id = std::string(to_view(message["X-Trace-Id"]));
+  outgoing.trace_id = std::string(message.field("X-Trace-Id"));
   if (outgoing.trace_id.empty()) throw BadRequest("no X-Trace-Id");
-  outgoing.idempotency_key = std::string(to_view(message["Idempotency-Key"]));
+  outgoing.idempotency_key = std::string(message.field("Idempotency-Key"));
   if (request_class.idempotency == Idempotency::kByKey && outgoing.idempotency_key.empty())
     throw BadRequest("no Idempotency-Key");
 
-  const std::string_view expires_in = to_view(message["X-Expires-In"]);
+  const std::string_view expires_in = message.field("X-Expires-In");
   request.timeout = expires_in.empty() ? request_class.client_timeout : parse_timeout(expires_in);
-  arrived.plan = std::string(to_view(message["Plan"]));
-  parse_quota_info(to_view(message["Quota-Info"]), settings.max_request_units, arrived);
-  arrived.client_retry = message["X-Second-Try"] == "1";
-  outgoing.method = std::string(to_view(message.method_string()));
+  arrived.plan = std::string(message.field("Plan"));
+  parse_quota_info(message.field("Quota-Info"), settings.max_request_units, arrived);
+  arrived.client_retry = message.field("X-Second-Try") == "1";
+  outgoing.method = std::string(expected_method == http::verb::get ? "GET" : "POST");
   outgoing.target = std::string(target);
-  outgoing.host = std::string(to_view(message[http::field::host]));
+  outgoing.host = std::string(message.field("Host"));
   return request;
 }
 
--- a/src/client/client_request.hpp
+++ b/src/client/client_request.hpp
@@ -1,18 +1,22 @@
 // Builds a client request from the head of an HTTP message.
 #pragma once
 
-#include <boost/beast/http/buffer_body.hpp>
-#include <boost/beast/http/parser.hpp>
+#include <array>
 #include <stdexcept>
 #include <string>
+#include <string_view>
 
+#include "network/message_parser.hpp"
 #include "network/outgoing_request.hpp"
 #include "quota_gateway/decision_engine.hpp"
 
 namespace quota_gateway::net {
 
-using RequestParser = boost::beast::http::request_parser<boost::beast::http::buffer_body>;
-using RequestMessage = RequestParser::value_type;
+using RequestParser = MessageParser<true>;
+
+// The header fields of a request that the gateway uses.
+constexpr std::array<std::string_view, 8> kRequestFields = {
+    "Host", "Expect", "X-Trace-Id", "Plan", "Idempotency-Key", "X-Expires-In", "Quota-Info", "X-Second-Try"};
 
 // A validated client request.
 struct ClientRequest {
@@ -29,8 +33,8 @@
   using std::runtime_error::runtime_error;
 };
 
-// Validates the head of a message and returns the request. Throws BadRequest if the protocol or the settings
-// do not permit it.
-ClientRequest parse_request(const RequestMessage& message, const Settings& settings);
+// Validates the head of a message, which must be complete, and returns the request. Throws BadRequest if the
+// protocol or the settings do not permit it.
+ClientRequest parse_request(const RequestParser& message, const Settings& settings);
 
 }  // namespace quota_gateway::net
--- a/src/client/request_reader.cpp
+++ b/src/client/request_reader.cpp
@@ -1,5 +1,6 @@
 #include "client/request_reader.hpp"
 
+#include <boost/asio/buffer.hpp>
 #include <boost/beast/core/string.hpp>
 #include <boost/beast/http/error.hpp>
 #include <utility>
@@ -10,7 +11,9 @@
 namespace http = boost::beast::http;
 using boost::system::error_code;
 
-constexpr std::uint32_t kMaxHeaderSize = 8 << 10;  // bytes
+// Limit for a single line of a head, and for all that is kept of a head.
+constexpr std::uint32_t kMaxLineSize = 8 << 10;   // bytes
+constexpr std::uint32_t kMaxHeadSize = 64 << 10;  // bytes
 // Unparsed bytes that follow each other within this time count as arrived together, so that a client that
 // sends them one by one does not need a record of each.
 constexpr Duration kArrivalResolution = 5'000;  // us
@@ -35,26 +38,23 @@
   }
 }
 
-bool RequestReader::is_input_oversized() const { return input_.size() > kMaxHeaderSize; }
+bool RequestReader::is_input_oversized() const { return input_.size() > kMaxLineSize; }
 
 void RequestReader::begin_request() {
-  parser_.emplace();
-  parser_->eager(true);
-  parser_->header_limit(kMaxHeaderSize);
+  const RequestParser::HeadLimits limits{.all_fields = kMaxHeadSize, .kept_fields = kMaxLineSize};
+  parser_.emplace(budget_, kRequestFields, limits, body_);
+  parser_->header_limit(kMaxHeadSize);
   parser_->body_limit(kMaxBodySize);
   is_head_complete_ = false;
 }
 
-void RequestReader::end_request() {
-  parser_.reset();
-  head_memory_.release();
-}
+void RequestReader::end_request() { parser_.reset(); }
 
 RequestReader::Progress RequestReader::parse_some() {
   Progress progress;
   error_code ec;
   const std::size_t previous_body_size = body_.size();
-  const std::size_t consumed = feed_parser(*parser_, input_.bytes(), body_, ec);
+  const std::size_t consumed = parser_->put(boost::asio::buffer(input_.bytes()), ec);
   progress.body_bytes = body_.size() - previous_body_size;
   consume(consumed);
   if (ec && ec != http::error::need_more) {
@@ -63,7 +63,6 @@
   }
   progress.head_completed = parser_->is_header_done() && !is_head_complete_;
   is_head_complete_ = parser_->is_header_done();
-  if (progress.head_completed) head_memory_.count(parser_->get());
   progress.needs_more_input = ec == http::error::need_more || consumed == 0;
   return progress;
 }
@@ -76,17 +75,17 @@
 }
 
 RequestHead RequestReader::head() const {
-  const RequestMessage& message = parser_->get();
+  const std::string_view expect = parser_->field("Expect");
   RequestHead head;
-  head.keep_alive = message.keep_alive();
-  head.http_version = message.version();
-  head.expects_continue = boost::beast::iequals(message[http::field::expect], "100-continue");
-  head.is_health_check = message.method() == http::verb::get && message.target() == "/_health";
+  head.keep_alive = parser_->keep_alive();
+  head.http_version = parser_->version();
+  head.expects_continue = boost::beast::iequals({expect.data(), expect.size()}, "100-continue");
+  head.is_health_check = parser_->method() == http::verb::get && parser_->target() == "/_health";
   return head;
 }
 
 ClientRequest RequestReader::parse_request(const Settings& settings) const {
-  return net::parse_request(parser_->get(), settings);
+  return net::parse_request(*parser_, settings);
 }
 
 std::optional<std::uint64_t> RequestReader::content_length() const {
--- a/src/client/request_reader.hpp
+++ b/src/client/request_reader.hpp
@@ -37,7 +37,7 @@
  public:
   // The memory of the buffers counts against `budget`.
   explicit RequestReader(BodyBudget& budget)
-      : input_(budget), body_(budget), arrivals_share_(budget), head_memory_(budget) {}
+      : budget_(budget), input_(budget), body_(budget), arrivals_share_(budget) {}
 
   // The result of one parse_some().
   struct Progress {
@@ -90,6 +90,7 @@
   // Removes the first `size` bytes of the input, which have been parsed.
   void consume(std::size_t size);
 
+  BodyBudget& budget_;
   CountedBuffer input_;
   CountedBuffer body_;
   std::vector<Arrival> arrivals_;  // of all unparsed bytes and of the last parsed byte
@@ -97,7 +98,6 @@
   std::uint64_t bytes_received_ = 0;
   std::uint64_t bytes_parsed_ = 0;
   std::optional<RequestParser> parser_;
-  HeadMemory head_memory_;
   bool is_head_complete_ = false;
 };
 
--- a/src/upstream/response_reader.cpp
+++ b/src/upstream/response_reader.cpp
@@ -2,6 +2,8 @@
 #include "upstream/response_reader.hpp"
 
 #include <algorithm>
+#include <array>
+#include <boost/asio/buffer.hpp>
 #include <boost/beast/http/error.hpp>
 #include <boost/beast/http/status.hpp>
 #include <utility>
@@ -13,29 +15,32 @@
 
 namespace http = boost::beast::http;
 using boost::system::error_code;
-using Response = http::response<http::buffer_body>;
 
-constexpr std::uint32_t kMaxHeaderSize = 16 << 10;  // bytes
+// Limit for a single line of a head, and for all that is kept of a head.
+constexpr std::uint32_t kMaxLineSize = 16 << 10;  // bytes
+constexpr std::uint32_t kMaxHeadSize = 64 << 10;  // bytes
+
+// The header fields of a response that the gateway uses.
+constexpr std::array<std::string_view, 3> kResponseFields = {"X-Never-Ran", "Endpoint-Load-Metrics",
+                                                             "Billed-Units"};
 
 // A 503 or 504 proves that the request was not executed only if the endpoint says so; a plain one may come
 // from an endpoint that executed it.
-Outcome classify_response(const Response& response) {
-  const http::status status = response.result();
+Outcome classify_response(const ResponseParser& response) {
+  const http::status status = response.status();
   if (status == http::status::ok) return Outcome::kOk;
   const bool is_overload_status =
       status == http::status::service_unavailable || status == http::status::gateway_timeout;
-  const bool is_proven_unexecuted = response["X-Never-Ran"] == "1";
+  const bool is_proven_unexecuted = response.field("X-Never-Ran") == "1";
   return is_overload_status && is_proven_unexecuted ? Outcome::kOverloaded : Outcome::kError;
 }
 
 // Returns the result according to the status and headers of a response.
-AttemptResult result_from_head(const Response& response) {
-  const auto load = response["Endpoint-Load-Metrics"];
-  const auto billed_units = response["Billed-Units"];
+AttemptResult result_from_head(const ResponseParser& response) {
   AttemptResult result;
   result.outcome = classify_response(response);
-  result.load = parse_load_report({load.data(), load.size()});
-  result.billed_units = parse_billed_units({billed_units.data(), billed_units.size()});
+  result.load = parse_load_report(response.field("Endpoint-Load-Metrics"));
+  result.billed_units = parse_billed_units(response.field("Billed-Units"));
   return result;
 }
 
@@ -46,8 +51,7 @@
 
 }  // namespace
 
-ResponseReader::ResponseReader(BodyBudget& budget)
-    : budget_(budget), head_memory_(budget), unparsed_(budget), body_(budget) {}
+ResponseReader::ResponseReader(BodyBudget& budget) : budget_(budget), unparsed_(budget), body_(budget) {}
 
 void ResponseReader::start() {
   body_.clear();
@@ -58,16 +62,14 @@
 
 void ResponseReader::release() {
   parser_.reset();
-  head_memory_.release();
   unparsed_.clear();
   body_.clear();
 }
 
 void ResponseReader::expect_response() {
-  parser_.emplace();
-  head_memory_.release();
-  parser_->eager(true);
-  parser_->header_limit(kMaxHeaderSize);
+  const ResponseParser::HeadLimits limits{.all_fields = kMaxHeadSize, .kept_fields = kMaxLineSize};
+  parser_.emplace(budget_, kResponseFields, limits, body_);
+  parser_->header_limit(kMaxHeadSize);
   parser_->body_limit(kMaxBodySize);
 }
 
@@ -75,17 +77,16 @@
   unparsed_.append(bytes);
   while (!unparsed_.empty() && !parser_->is_done()) {
     error_code error;
-    const std::size_t consumed = feed_parser(*parser_, unparsed_.bytes(), body_, error);
+    const std::size_t consumed = parser_->put(boost::asio::buffer(unparsed_.bytes()), error);
     unparsed_.remove_prefix(consumed);
     if (error && error != http::error::need_more) return Status::kInvalid;
     if (parser_->is_header_done()) {
-      head_memory_.count(parser_->get());
       const Status status = apply_body_limits(on_started);
       if (status != Status::kIncomplete) return status;
     }
     if (error == http::error::need_more) {
       // The parser does not limit the size of a chunk extension, which may be endless.
-      if (unparsed_.size() > kMaxHeaderSize) return Status::kInvalid;
+      if (unparsed_.size() > kMaxLineSize) return Status::kInvalid;
       break;
     }
     if (is_interim_response()) {
@@ -107,15 +108,14 @@
   if (is_streaming_) return Status::kIncomplete;
   const bool is_complete_and_small = parser_->is_done() && size <= kBufferedBodyLimit;
   if (size <= budget_.buffered_body_limit() || is_complete_and_small) return Status::kIncomplete;
-  const AttemptResult head = result_from_head(parser_->get());
+  const AttemptResult head = result_from_head(*parser_);
   if (head.outcome != Outcome::kOk) return Status::kFailed;
   is_streaming_ = true;
   return on_started(head, length) ? Status::kIncomplete : Status::kAborted;
 }
 
 bool ResponseReader::is_interim_response() const {
-  return parser_->is_done() &&
-         http::to_status_class(parser_->get().result()) == http::status_class::informational;
+  return parser_->is_done() && http::to_status_class(parser_->status()) == http::status_class::informational;
 }
 
 bool ResponseReader::complete_at_close() {
@@ -131,13 +131,11 @@
 }
 
 AttemptResult ResponseReader::take_result() {
-  AttemptResult result = result_from_head(parser_->get());
+  AttemptResult result = result_from_head(*parser_);
   if (result.outcome == Outcome::kOk) result.body = body_.take();
   return result;
 }
 
-bool ResponseReader::is_connection_reusable() const {
-  return parser_->get().keep_alive() && unparsed_.empty();
-}
+bool ResponseReader::is_connection_reusable() const { return parser_->keep_alive() && unparsed_.empty(); }
 
 }  // namespace quota_gateway::net
--- a/src/upstream/response_reader.hpp
+++ b/src/upstream/response_reader.hpp
@@ -1,8 +1,6 @@
 // Parses an endpoint's response, and decides whether its body is buffered or streamed to the client.
 #pragma once
 
-#include <boost/beast/http/buffer_body.hpp>
-#include <boost/beast/http/parser.hpp>
 #include <cstdint>
 #include <functional>
 #include <optional>
@@ -10,10 +8,13 @@
 #include <string_view>
 
 #include "network/body_transfer.hpp"
+#include "network/message_parser.hpp"
 #include "upstream/attempt.hpp"
 
 namespace quota_gateway::net {
 
+using ResponseParser = MessageParser<false>;
+
 // Reads the response to one attempt at a time. It performs no I/O.
 class ResponseReader {
  public:
@@ -53,15 +54,12 @@
   [[nodiscard]] bool is_connection_reusable() const;
 
  private:
-  using Parser = boost::beast::http::response_parser<boost::beast::http::buffer_body>;
-
   void expect_response();
   Status apply_body_limits(const StartedCallback& on_started);
   [[nodiscard]] bool is_interim_response() const;
 
   BodyBudget& budget_;
-  std::optional<Parser> parser_;
-  HeadMemory head_memory_;
+  std::optional<ResponseParser> parser_;
   CountedBuffer unparsed_;
   CountedBuffer body_;                // buffered, or not yet taken for delivery to the client
   std::uint64_t delivered_size_ = 0;  // bytes of the body taken for delivery to the client
