Add failing tests: new customers and answered requests hold memory

Cause: QuotaSlices keeps the state of each name for 64 s, however many there are. A request's deadline callback stays in Timers until the time that its client stated, up to an hour, although the request was answered long ago.

--- a/tests/runtime/memory_limit_test.cpp
+++ b/tests/runtime/memory_limit_test.cpp
@@ -11,6 +11,8 @@
 
 constexpr int kMemoryLimitMb = 32;  // the smallest memory limit of a gateway
 constexpr long kMemoryLimitKilobytes = kMemoryLimitMb * 1024;
+// Far below the size of any record of a request, for the allocator's own variation.
+constexpr long kMaxBytesPerAnsweredRequest = 16;
 #if defined(__SANITIZE_ADDRESS__)
 constexpr bool kMeasuresMemory = false;  // the sanitizer needs memory of its own
 constexpr int kLoadDivisor = 10;
@@ -53,6 +55,40 @@
     error_code ignored;
     socket.write_some(asio::buffer(text), ignored);
   }
+  // Sends requests on one connection, the next ones while earlier ones are answered, and reads the answers.
+  void flood(int count, const std::function<std::string(int)>& request_of) {
+    constexpr int kRequestsInFlight = 32;
+    constexpr std::string_view kStatusLine = "HTTP/1.1 ";
+    tcp::socket socket = connect();
+    int sent = 0;
+    int answered = 0;
+    std::string received;
+    std::array<char, 1 << 16> buffer{};
+    EXPECT_TRUE(run_until(io_, [&] {
+      while (sent < count && sent - answered < kRequestsInFlight) send(socket, request_of(sent++));
+      io_.poll();
+      error_code ec;
+      const std::size_t size = socket.read_some(asio::buffer(buffer), ec);
+      received.append(buffer.data(), ec ? 0 : size);
+      for (std::size_t at = 0; (at = received.find(kStatusLine)) != std::string::npos; ++answered)
+        received.erase(0, at + kStatusLine.size());
+      return answered >= count || (ec && ec != asio::error::would_block);
+    }));
+    EXPECT_EQ(answered, count);
+  }
+  // Sends the requests in two floods of the same size, and expects that the second one needs no more memory.
+  void expect_no_growth(const std::function<std::string(int)>& request_of) {
+    constexpr int kRequestsPerFlood = 40'000 / kLoadDivisor;
+    constexpr long kMaxGrowthKilobytes = kRequestsPerFlood * kMaxBytesPerAnsweredRequest / 1024;
+    flood(kRequestsPerFlood, request_of);
+    const long before = gateway_->peak_resident_kilobytes();
+    flood(kRequestsPerFlood, [&](int i) { return request_of(kRequestsPerFlood + i); });
+    const long growth = gateway_->peak_resident_kilobytes() - before;
+    std::printf("growth %ld kB\n", growth);
+    if (kMeasuresMemory) {
+      EXPECT_LT(growth, kMaxGrowthKilobytes);
+    }
+  }
   void expect_honest_client_is_served(const std::string& id) {
     Client client(io_, {asio::ip::address_v4::loopback(), port_});
     client.send(get_request(id));
@@ -75,6 +111,14 @@
   std::deque<tcp::socket> peers_;
 };
 
+std::string request_of_customer(int customer, const std::string& expires_in) {
+  std::array<char, 17> name{};
+  std::snprintf(name.data(), name.size(), "%016x", unsigned(customer));
+  return "GET /profile-read/" + std::string(name.data()) + " HTTP/1.1\r\nHost: origin.svc\r\nX-Trace-Id: t" +
+         std::to_string(customer) + "\r\nPlan: plan-group\r\nX-Expires-In: " + expires_in +
+         "\r\nQuota-Info: units=1,spread=1,first=0\r\n\r\n";
+}
+
 std::string unfinished_head_of_short_fields(int field_count) {
   std::string text = "GET /profile-read/00000000b4d65521 HTTP/1.1\r\n";
   for (int i = 0; i < field_count; ++i) text += "ab:\r\n";
@@ -99,5 +143,17 @@
   expect_peak_below_limit();
 }
 
+TEST_F(MemoryLimitTest, RequestsOfEverNewCustomersDoNotGrowMemoryWithoutEnd) {
+  expect_no_growth([](int i) { return request_of_customer(i, "4000m"); });
+  expect_honest_client_is_served("honest");
+  expect_peak_below_limit();
+}
+
+TEST_F(MemoryLimitTest, AnsweredRequestsWithLongTimeoutsHoldNoMemory) {
+  expect_no_growth([](int) { return request_of_customer(1, "3600000m"); });
+  expect_honest_client_is_served("honest");
+  expect_peak_below_limit();
+}
+
 }  // namespace
 }  // namespace quota_gateway::net::testing
