Limit the number of customers whose quota state is kept

What was seen: one client that asks under ever new names made the process grow by 12.5 MB for 40,000 names.

Cause: the state of each name was kept for 64 s after its last request, however many there were.

Change: CustomerTable keeps as many as a tenth of the memory holds. A customer now counts its requests in progress, because a queued request refers to it without an attempt.

--- a/include/quota_gateway/settings.hpp
+++ b/include/quota_gateway/settings.hpp
@@ -1,6 +1,7 @@
 // The configuration of a gateway: request classes, service plans, and the limits that it must not exceed.
 #pragma once
 
+#include <cstddef>
 #include <string>
 #include <vector>
 
@@ -66,6 +67,7 @@
   Duration max_subscribe_delay = 10'000'000;
   Duration response_grace = 0;
   Duration drain_grace = 0;
+  std::size_t max_customers = 0;                // whose state is kept at the same time; 0: no limit
   double slow_start_min_capacity_fraction = 1;  // of the full capacity, at the start
   Duration slow_start_duration = 0;
   double slow_start_overload_factor = 1;  // multiple of the current capacity
--- a/src/decision/admission.cpp
+++ b/src/decision/admission.cpp
@@ -15,6 +15,11 @@
     decide(request);
 }
 
+void Admission::reject_excess_customer(const RequestArrived& event) {
+  dependencies_.rejections.count(RejectionReason::kCustomerLimit);
+  context_.emit(RejectRequest{event.id, context_.settings().tick});
+}
+
 // When a customer's requests are spread over many gateways, each gateway sees the customer so rarely that it
 // would never know a total when it needs one. The first request therefore waits for the total.
 bool Admission::should_await_total(const RequestArrived& event, Request& request) {
--- a/src/decision/admission.hpp
+++ b/src/decision/admission.hpp
@@ -30,6 +30,8 @@
 
   // Decides about a new request: immediately, or once the first counter total of its customer is known.
   void on_request(const RequestArrived& event, Request& request);
+  // Rejects a request whose customer is one too many to keep its state.
+  void reject_excess_customer(const RequestArrived& event);
   // Decides about the requests that were waiting for the total in this reply.
   void on_counter_reply(const CounterReply& event);
   // Decides about a request whose total did not arrive in time.
--- a/src/decision/decision_engine.cpp
+++ b/src/decision/decision_engine.cpp
@@ -74,7 +74,7 @@
  private:
   void on_event(const EndpointListUpdate& event);
   void on_event(const AdminStateChanged& event);
-  void on_event(const RequestArrived& event) { admission_.on_request(event, request_factory_.create(event)); }
+  void on_event(const RequestArrived& event);
   void on_event(const RequestBodyCompleted& event) { attempt_events_.on_body_completed(event); }
   void on_event(const ResponseStarted& event) { attempt_events_.on_response_started(event); }
   void on_event(const AttemptEnded& event) { attempt_events_.on_attempt_ended(event); }
@@ -173,6 +173,13 @@
                "endpoints: " + event.endpoint + " enabled: administrative state change");
 }
 
+void DecisionEngine::Impl::on_event(const RequestArrived& event) {
+  if (decision::Request* request = request_factory_.create(event))
+    admission_.on_request(event, *request);
+  else
+    admission_.reject_excess_customer(event);
+}
+
 void DecisionEngine::Impl::on_event(const RequestCancelled& event) {
   decision::Request* request = requests_.find(event.id);
   if (request == nullptr) return;
--- a/src/decision/quota/customer_quota.hpp
+++ b/src/decision/quota/customer_quota.hpp
@@ -21,6 +21,7 @@
   int gateway_set_position = 0;  // index of this gateway in that set
   double quota_rate = 0;         // units per second over all gateways; 0: no quota
   TimePoint last_request_at = 0;
+  int requests_in_progress = 0;  // of this process, including those without an attempt in flight
 
   // Demand, rejected requests included. The sums decay with the demand time constant.
   TimePoint advanced_at = 0;      // time of the last update of the decaying sums and the tokens
@@ -52,6 +53,12 @@
   int attempts_in_flight = 0;    // of this process
   int predecessor_attempts = 0;  // still in flight from the process that this one replaced
 
+  // Returns whether other modules refer to this customer.
+  [[nodiscard]] bool is_in_use() const {
+    return requests_in_progress != 0 || attempts_in_flight != 0 || predecessor_attempts != 0 ||
+           increments_in_flight != 0;
+  }
+
   // Visits the values that a hot restart passes on. Their order and number must not change: the values are
   // stored without names, so the successor, possibly of another build, assigns them by position alone.
   template <typename Visitor>
--- a/src/decision/quota/quota_slices.cpp
+++ b/src/decision/quota/quota_slices.cpp
@@ -27,19 +27,25 @@
 
 // ---- Customers ------------------------------------------------------------------------------------------
 
-CustomerQuota& QuotaSlices::find_or_create(TimePoint now, const RequestArrived& request,
+CustomerQuota* QuotaSlices::find_or_create(TimePoint now, const RequestArrived& request,
                                            const PlanSettings& plan) {
-  CustomerQuota& customer = customers_[request.customer];
   if (started_at_ == 0) started_at_ = now - settings_.tick;
-  update_gateway_set(request, customer);
-  if (customer.plan != &plan) apply_plan(now, request.customer, plan, customer);
-  customer.last_request_at = now;
+  CustomerQuota* customer = customers_.find_or_create(
+      request.customer, [&](CustomerQuota& candidate) { return can_forget(now, candidate); });
+  if (customer == nullptr) return nullptr;
+  update_gateway_set(request, *customer);
+  if (customer->plan != &plan) apply_plan(now, request.customer, plan, *customer);
+  customer->last_request_at = now;
   return customer;
 }
 
-CustomerQuota* QuotaSlices::find(const std::string& customer_id) {
-  const auto found = customers_.find(customer_id);
-  return found == customers_.end() ? nullptr : &found->second;
+// A customer that comes back must not have more of its hard limit than it would have now.
+bool QuotaSlices::can_forget(TimePoint now, CustomerQuota& customer) const {
+  if (customer.is_in_use()) return false;
+  if (customer.plan->hard_limit_rate <= 0) return true;
+  CustomerQuota forgotten = customer;
+  initialize_hard_limit(now, started_at_, forgotten);
+  return hard_limit_allows(now, customer, forgotten.hard_limit_tokens);
 }
 
 void QuotaSlices::update_gateway_set(const RequestArrived& request, CustomerQuota& customer) const {
@@ -119,51 +125,47 @@
 }
 
 void QuotaSlices::on_period(TimePoint now, std::vector<Action>& actions) {
-  for (auto next = customers_.begin(); next != customers_.end();) {
-    const auto current = next++;
-    auto& [customer_id, customer] = *current;
+  customers_.erase_if([&](const std::string& customer_id, CustomerQuota& customer) {
     advance(now, customer);
-    const bool is_in_use = customer.attempts_in_flight != 0 || customer.increments_in_flight != 0;
-    if (!is_in_use && now - customer.last_request_at > kIdleCustomerTtl) {
-      customers_.erase(current);
-    } else {
-      counter_sync_.sync_periodically(now, customer_id, customer, actions);
-    }
-  }
+    if (!customer.is_in_use() && now - customer.last_request_at > kIdleCustomerTtl) return true;
+    counter_sync_.sync_periodically(now, customer_id, customer, actions);
+    return false;
+  });
   counter_sync_.finish_period();
 }
 
 void QuotaSlices::set_wall_offset(TimePoint now, Duration offset) {
   if (!counter_sync_.set_wall_offset(now, offset)) return;
-  for (auto& [customer_id, customer] : customers_) customer.last_epoch_before_step = customer.epoch;
+  customers_.for_each(
+      [](const std::string&, CustomerQuota& customer) { customer.last_epoch_before_step = customer.epoch; });
 }
 
 // ---- Hot restart ----------------------------------------------------------------------------------------
 
 std::map<std::string, int> QuotaSlices::attempts_in_flight() const {
   std::map<std::string, int> attempts;
-  for (const auto& [customer_id, customer] : customers_) {
+  customers_.for_each([&](const std::string& customer_id, const CustomerQuota& customer) {
     const int in_flight = customer.attempts_in_flight + customer.predecessor_attempts;
     if (in_flight > 0) attempts[customer_id] = in_flight;
-  }
+  });
   return attempts;
 }
 
 void QuotaSlices::set_predecessor_attempts(const std::map<std::string, int>& attempts) {
-  for (auto& [customer_id, customer] : customers_) {
+  customers_.for_each([&](const std::string& customer_id, CustomerQuota& customer) {
     const auto found = attempts.find(customer_id);
     customer.predecessor_attempts = found == attempts.end() ? 0 : found->second;
-  }
+  });
 }
 
 void QuotaSlices::save_state(HotRestartState& state) {
-  for (const auto& [customer_id, customer] : customers_) {
+  customers_.for_each([&](const std::string& customer_id, const CustomerQuota& customer) {
     CustomerQuota saved = customer;
     saved.predecessor_attempts += customer.attempts_in_flight;
     // Increments without a reply have most likely been added.
     saved.reported_units += counter_sync_.units_in_flight(customer_id);
     state.customers[customer_id] = {customer.plan->name, serialize_fields(saved)};
-  }
+  });
 }
 
 void QuotaSlices::restore_customer(const std::string& customer_id, const PlanSettings& plan,
@@ -171,7 +173,9 @@
   CustomerQuota customer;
   customer.plan = &plan;
   customer.id_hash = hash_text(customer_id);
-  if (deserialize_fields(customer, values)) customers_[customer_id] = customer;
+  if (!deserialize_fields(customer, values)) return;
+  const auto keep_all = [](CustomerQuota&) { return false; };
+  if (CustomerQuota* restored = customers_.find_or_create(customer_id, keep_all)) *restored = customer;
 }
 
 }  // namespace quota_gateway::decision
--- a/src/decision/quota/quota_slices.hpp
+++ b/src/decision/quota/quota_slices.hpp
@@ -12,6 +12,7 @@
 #include "decision/quota/concurrency_cap.hpp"
 #include "decision/quota/counter_sync.hpp"
 #include "decision/quota/customer_quota.hpp"
+#include "decision/quota/customer_table.hpp"
 #include "decision/quota/rate_limiter.hpp"
 #include "quota_gateway/actions.hpp"
 #include "quota_gateway/events.hpp"
@@ -20,20 +21,20 @@
 
 namespace quota_gateway::decision {
 
-// Owns the quota state of all customers. A reference to a customer stays valid while it has attempts or
-// counter increments in flight, and for about a minute after its last request.
+// Owns the quota state of all customers. A reference to a customer stays valid while it has requests in
+// progress, or attempts or counter increments in flight.
 class QuotaSlices {
  public:
   // `settings` must outlive this object.
   QuotaSlices(const Settings& settings, std::uint64_t seed)
-      : settings_(settings), random_(seed), counter_sync_(settings) {}
+      : settings_(settings), random_(seed), counter_sync_(settings), customers_(settings.max_customers) {}
 
   // Returns the customer of a request, created if it is new, with `plan` and the request's gateway set
-  // applied.
-  CustomerQuota& find_or_create(TimePoint now, const RequestArrived& request, const PlanSettings& plan);
+  // applied. Returns null if there are too many customers and none of them can be forgotten.
+  CustomerQuota* find_or_create(TimePoint now, const RequestArrived& request, const PlanSettings& plan);
 
   // Returns the customer, or null if there is no state for it.
-  CustomerQuota* find(const std::string& customer_id);
+  CustomerQuota* find(const std::string& customer_id) { return customers_.find(customer_id); }
 
   // Adds a request's units to the demand, whether the request is admitted or not.
   void record_demand(TimePoint now, CustomerQuota& customer, double units);
@@ -103,13 +104,14 @@
   void update_gateway_set(const RequestArrived& request, CustomerQuota& customer) const;
   void apply_plan(TimePoint now, const std::string& customer_id, const PlanSettings& plan,
                   CustomerQuota& customer) const;
+  [[nodiscard]] bool can_forget(TimePoint now, CustomerQuota& customer) const;
   [[nodiscard]] bool uses_probabilistic_admission(const CustomerQuota& customer) const;
 
   const Settings& settings_;
   Random random_;
   CounterSync counter_sync_;
   TimePoint started_at_ = 0;  // start of this process or its first predecessor; 0: no request yet
-  std::map<std::string, CustomerQuota> customers_;  // by ID; the actions follow this order
+  CustomerTable customers_;
 };
 
 }  // namespace quota_gateway::decision
--- a/src/decision/rejection_log.hpp
+++ b/src/decision/rejection_log.hpp
@@ -9,11 +9,12 @@
 namespace quota_gateway::decision {
 
 enum class RejectionReason {
-  kSlice,             // beyond this gateway's slice of the quota
-  kConcurrencyCap,    // too many attempts of the customer in flight
-  kHardLimit,         // beyond the hard limit, which also applies to excess requests
-  kNoCapacity,        // no endpoint had capacity in time
-  kAttemptsExhausted  // sent, but no endpoint responded
+  kSlice,              // beyond this gateway's slice of the quota
+  kConcurrencyCap,     // too many attempts of the customer in flight
+  kHardLimit,          // beyond the hard limit, which also applies to excess requests
+  kNoCapacity,         // no endpoint had capacity in time
+  kAttemptsExhausted,  // sent, but no endpoint responded
+  kCustomerLimit       // the state of too many customers is kept already
 };
 
 // Logs the counts since the last report in one line.
--- a/src/decision/request_factory.hpp
+++ b/src/decision/request_factory.hpp
@@ -16,7 +16,8 @@
   RequestFactory(DecisionContext& context, const ServiceCatalog& catalog, QuotaSlices& slices,
                  LatencyModel& latencies, RequestTable& requests);
 
-  Request& create(const RequestArrived& event);
+  // Returns null if there are too many customers to keep the state of another one.
+  Request* create(const RequestArrived& event);
 
  private:
   DecisionContext& context_;
--- a/src/decision/request_state.cpp
+++ b/src/decision/request_state.cpp
@@ -23,6 +23,7 @@
 
 void RequestTable::erase_if_complete(const Request& request) {
   if (!request.is_finished() || request.attempts_in_flight > 0) return;
+  --request.customer->requests_in_progress;
   requests_.erase(requests_.find(request.id));
 }
 
--- a/src/runtime/coordinator.cpp
+++ b/src/runtime/coordinator.cpp
@@ -17,10 +17,17 @@
 template <typename... Functions>
 Overloaded(Functions...) -> Overloaded<Functions...>;
 
+// Returns the settings with the limits that follow from the resources of this gateway.
+Settings derive_settings(const Configuration& configuration) {
+  Settings settings = configuration.settings;
+  settings.max_customers = max_customers(configuration);
+  return settings;
+}
+
 }  // namespace
 
 Coordinator::Coordinator(boost::asio::io_context& io, const Configuration& configuration, const Clock& clock)
-    : settings_(configuration.settings),
+    : settings_(derive_settings(configuration)),
       clock_(clock),
       timers_(io, clock),
       metrics_(settings_),
--- a/src/runtime/resource_limits.cpp
+++ b/src/runtime/resource_limits.cpp
@@ -14,6 +14,9 @@
 constexpr std::size_t kBytesPerClient = 64 << 10;  // at most, while buffer memory is short
 constexpr std::size_t kBodyBufferDivisor = 6;  // of the memory; the socket buffers need the same amount again
 
+constexpr std::size_t kCustomerMemoryDivisor = 10;  // of the memory
+constexpr std::size_t kBytesPerCustomer = 512;      // at most, including the allocator's own
+
 std::size_t memory_bytes(const Configuration& configuration) {
   return configuration.memory_mb * kBytesPerMegabyte;
 }
@@ -35,4 +38,8 @@
   return memory_bytes(configuration) / kBodyBufferDivisor;
 }
 
+std::size_t max_customers(const Configuration& configuration) {
+  return memory_bytes(configuration) / kCustomerMemoryDivisor / kBytesPerCustomer;
+}
+
 }  // namespace quota_gateway::net
