Count all memory when it is allocated, and act on a shortage step by step

What was seen: memory was bounded by no design. The buffers of connections were counted, and only shrank reads when they were many; parsers, request records, timers and names were not counted, and nothing was refused.

Change: the program replaces operator new and delete by ones that count each block with the allocator's own part (heap_meter). The check is made before each read from a client, before each accept and every 200 ms. A closed session frees its buffers at once.

Rejected: a counting allocator for each container; it leaves out what someone forgets, and strings that move between modules.

--- a/src/client/client_callbacks.hpp
+++ b/src/client/client_callbacks.hpp
@@ -3,6 +3,7 @@
 
 #include <cstdint>
 #include <functional>
+#include <string>
 
 #include "client/client_request.hpp"
 #include "quota_gateway/time.hpp"
@@ -18,6 +19,8 @@
   // The streamed body is incomplete because its endpoint reads slowly, but the client may have sent all of it
   // after `last_byte_pending_since`.
   std::function<void(std::uint64_t request_id, TimePoint last_byte_pending_since)> on_body_lagging;
+  // A request was rejected before on_request(), because the gateway is short of memory.
+  std::function<void(const std::string& request_class, int status)> on_request_rejected;
   // The client's connection was closed before the response was complete.
   std::function<void(std::uint64_t request_id)> on_client_disconnected;
   // All chunks of a streamed response so far are written; the next one may follow.
--- a/src/client/client_listener.cpp
+++ b/src/client/client_listener.cpp
@@ -18,6 +18,8 @@
 constexpr int kMaxEvictionAttempts = 4;                    // each queries the kernel about one connection
 constexpr Duration kStallCheckInterval = 200'000;          // us
 constexpr Duration kAcceptRetryDelay = 20'000;             // us
+constexpr Duration kRequestResetInterval = 10'000;         // us
+constexpr std::size_t kMaxRequestResets = 8;               // within that interval
 constexpr Duration kListenRetryDelay = 50'000;             // us
 constexpr Duration kListenFailureLogInterval = 5'000'000;  // us
 // Aborted connections that are skipped before control returns to the event loop.
@@ -28,13 +30,15 @@
 // NOLINTNEXTLINE(readability-function-size): one parameter per dependency
 ClientListener::ClientListener(asio::io_context& io, Timers& timers, const Clock& clock,
                                const Settings& settings, std::size_t max_clients, BodyBudget& budget,
-                               Callbacks callbacks)
+                               MemoryMonitor& memory, Callbacks callbacks)
     : io_(io),
       max_clients_(max_clients),
       context_{.timers = timers,
                .clock = clock,
                .settings = settings,
                .budget = budget,
+               .memory = memory,
+               .relieve_memory = [this] { relieve_memory(); },
                .callbacks = std::move(callbacks),
                .on_session_closed = [this](std::uint64_t client_id) { on_session_closed(client_id); },
                .read_buffer = std::vector<char>(kReadSize)},
@@ -92,6 +96,7 @@
 void ClientListener::accept() {
   const bool is_left_to_successor = context_.is_draining && context_.is_listener_inherited;
   if (is_accept_pending_ || !acceptor_.is_open() || is_left_to_successor) return;
+  if (context_.memory.is_active(OverloadAction::kStopAccepting)) return retry_accept_later();
   is_accept_pending_ = true;
   acceptor_.async_accept([this](error_code ec, tcp::socket socket) {
     is_accept_pending_ = false;
@@ -102,6 +107,17 @@
   });
 }
 
+void ClientListener::retry_accept_later() {
+  if (is_accept_retry_scheduled_) return;
+  is_accept_retry_scheduled_ = true;
+  context_.memory.count(OverloadAction::kStopAccepting);
+  context_.timers.schedule_after(kAcceptRetryDelay, [this] {
+    is_accept_retry_scheduled_ = false;
+    context_.memory.check();
+    accept();
+  });
+}
+
 void ClientListener::on_accept_failed(error_code ec) {
   switch (classify_accept(ec)) {
     case AcceptFailure::kCancelled:  // accept() does nothing if the successor accepts now
@@ -255,7 +271,57 @@
                      [](const auto& entry) { return entry.second->is_settled(); });
 }
 
+std::vector<std::shared_ptr<ClientSession>> ClientListener::unfinished_sessions() const {
+  std::vector<std::shared_ptr<ClientSession>> unfinished;
+  for (const auto& [client_id, session] : sessions_)
+    if (session->is_request_unfinished() && session->buffered_bytes() > 0) unfinished.push_back(session);
+  // Those that hold most memory come first, so that few connections have to be closed.
+  std::sort(unfinished.begin(), unfinished.end(), [](const auto& first, const auto& second) {
+    return first->buffered_bytes() > second->buffered_bytes();
+  });
+  return unfinished;
+}
+
+std::vector<std::shared_ptr<ClientSession>> ClientListener::sessions_with_request() const {
+  std::vector<std::shared_ptr<ClientSession>> busy;
+  for (const auto& [client_id, session] : sessions_)
+    if (session->request_id() != 0) busy.push_back(session);
+  std::sort(busy.begin(), busy.end(),
+            [](const auto& first, const auto& second) { return first->request_id() > second->request_id(); });
+  return busy;
+}
+
+// Closing a session frees its buffers at once.
+void ClientListener::close_unfinished_sessions() {
+  for (const auto& session : unfinished_sessions()) {
+    if (!context_.memory.is_active(OverloadAction::kCloseUnfinished)) return;
+    session->abort_response();
+    context_.memory.count(OverloadAction::kCloseUnfinished);
+    context_.memory.check();
+  }
+}
+
+// The memory of a request is freed only after its end has been processed, so only a few are reset at a time.
+void ClientListener::reset_latest_requests() {
+  const TimePoint now = context_.clock.now();
+  if (now - requests_reset_at_ < kRequestResetInterval) return;
+  requests_reset_at_ = now;
+  auto sessions = sessions_with_request();
+  if (sessions.size() > kMaxRequestResets) sessions.resize(kMaxRequestResets);
+  for (const auto& session : sessions) {
+    session->abort_response();
+    context_.memory.count(OverloadAction::kResetRequestsInProgress);
+  }
+}
+
+void ClientListener::relieve_memory() {
+  context_.memory.check();
+  if (context_.memory.is_active(OverloadAction::kCloseUnfinished)) close_unfinished_sessions();
+  if (context_.memory.is_active(OverloadAction::kResetRequestsInProgress)) reset_latest_requests();
+}
+
 void ClientListener::close_stalled_sessions() {
+  relieve_memory();
   const TimePoint now = context_.clock.now();
   const auto sessions = sessions_;
   for (const auto& [client_id, session] : sessions) session->close_if_stalled(now);
--- a/src/client/client_listener.hpp
+++ b/src/client/client_listener.hpp
@@ -10,6 +10,7 @@
 #include <optional>
 #include <string>
 #include <unordered_map>
+#include <vector>
 
 #include "client/client_callbacks.hpp"
 #include "client/client_request.hpp"
@@ -17,6 +18,7 @@
 #include "client/client_session.hpp"
 #include "network/body_transfer.hpp"
 #include "quota_gateway/decision_engine.hpp"
+#include "runtime/memory_monitor.hpp"
 #include "runtime/timers.hpp"
 
 namespace quota_gateway::net {
@@ -28,7 +30,7 @@
   using Callbacks = ClientCallbacks;
 
   ClientListener(boost::asio::io_context& io, Timers& timers, const Clock& clock, const Settings& settings,
-                 std::size_t max_clients, BodyBudget& budget, Callbacks callbacks);
+                 std::size_t max_clients, BodyBudget& budget, MemoryMonitor& memory, Callbacks callbacks);
   ClientListener(const ClientListener&) = delete;
   ClientListener& operator=(const ClientListener&) = delete;
   ClientListener(ClientListener&&) = delete;
@@ -74,6 +76,7 @@
   boost::system::error_code bind_and_listen(const boost::asio::ip::tcp::endpoint& address);
   void log_listen_failure(boost::system::error_code ec);
   void accept();
+  void retry_accept_later();
   void on_accept_failed(boost::system::error_code ec);
   void accept_if_below_limit();
   // Accepts every connection in the backlog. Returns false if accepting failed and must be retried.
@@ -88,6 +91,13 @@
   void close_idle_sessions();
   void close_stalled_sessions();
 
+  // Memory shortage.
+  void relieve_memory();
+  void close_unfinished_sessions();
+  void reset_latest_requests();
+  [[nodiscard]] std::vector<std::shared_ptr<ClientSession>> unfinished_sessions() const;
+  [[nodiscard]] std::vector<std::shared_ptr<ClientSession>> sessions_with_request() const;
+
   boost::asio::io_context& io_;
   const std::size_t max_clients_;
   ClientSessionContext context_;
@@ -95,8 +105,10 @@
   std::unordered_map<std::uint64_t, std::shared_ptr<ClientSession>> sessions_;
   std::uint64_t last_client_id_ = 0;
   bool is_accept_pending_ = false;
+  bool is_accept_retry_scheduled_ = false;
   bool is_accepting_backlog_ = false;  // stop_accepting() was called and has not succeeded yet
   TimePoint listen_failure_logged_at_ = 0;
+  TimePoint requests_reset_at_ = 0;
 };
 
 }  // namespace quota_gateway::net
--- a/src/client/client_session.cpp
+++ b/src/client/client_session.cpp
@@ -19,6 +19,7 @@
 // Limit of the input discarded from a client that never sent a valid request; reading more would take time
 // from other clients.
 constexpr std::size_t kMaxDiscardedBytesOfInvalidClient = 256 << 10;
+constexpr int kStatusServiceUnavailable = 503;
 // Interval between checks of a client whose upload is not being read.
 constexpr Duration kSuspendedReadCheckInterval = 10'000;  // us
 
@@ -47,6 +48,7 @@
 
 void ClientSession::on_readable(error_code ec) {
   is_read_pending_ = false;
+  context_.relieve_memory();
   last_byte_.on_readable(now());
   // While a request is pending, reads until the kernel has no more data: the end of the connection may
   // directly follow the request and must be noticed before the request is forwarded.
@@ -203,6 +205,12 @@
 }
 
 void ClientSession::report_request() {
+  if (context_.memory.is_active(OverloadAction::kRejectRequests)) {
+    context_.memory.count(OverloadAction::kRejectRequests);
+    context_.callbacks.on_request_rejected(request_->arrived.request_class, kStatusServiceUnavailable);
+    reject({kStatusServiceUnavailable, "out of memory"});
+    return request_.reset();
+  }
   enter(State::kAwaitingResponse);
   request_id_ = context_.callbacks.on_request(client_id_, std::move(*request_));
   request_.reset();
@@ -247,7 +255,7 @@
   request_->outgoing.upload =
       upload_.start(reader_.content_length(), reader_.take_body(), std::move(callbacks));
   report_request();
-  upload_.await_drained();
+  if (upload_.is_active()) upload_.await_drained();
 }
 
 // The response comes before the end of the body. The client may send the whole body before it reads the
@@ -373,10 +381,23 @@
   error_code ignored;
   socket_.close(ignored);
   abandon_upload();
+  release_buffers();
   if (is_response_incomplete) context_.callbacks.on_client_disconnected(request_id_);
   context_.on_session_closed(client_id_);
 }
 
+// The session itself exists until its pending handlers have run.
+void ClientSession::release_buffers() {
+  reader_.end_request();
+  reader_.clear_input();
+  reader_.clear_body();
+  request_.reset();
+}
+
+bool ClientSession::is_request_unfinished() const {
+  return state_ == State::kIdle || state_ == State::kReadingRequest || state_ == State::kClosing;
+}
+
 bool ClientSession::is_settled() {
   return state_ == State::kIdle && has_sent_request_ && !has_data_in_flight();
 }
--- a/src/client/client_session.hpp
+++ b/src/client/client_session.hpp
@@ -21,6 +21,7 @@
 #include "client/upload_producer.hpp"
 #include "network/body_transfer.hpp"
 #include "quota_gateway/decision_engine.hpp"
+#include "runtime/memory_monitor.hpp"
 #include "runtime/timers.hpp"
 
 namespace quota_gateway::net {
@@ -31,6 +32,9 @@
   const Clock& clock;
   const Settings& settings;
   BodyBudget& budget;
+  MemoryMonitor& memory;
+  // Closes sessions if memory is very short. May close the session that calls it.
+  const std::function<void()> relieve_memory;
   const ClientCallbacks callbacks;
   // Removes a closed session from the listener.
   const std::function<void(std::uint64_t client_id)> on_session_closed;
@@ -75,6 +79,12 @@
   void close_if_stalled(TimePoint now);
   void close();
 
+  // Returns whether no request is in progress, although a part of one may have been received.
+  [[nodiscard]] bool is_request_unfinished() const;
+  // Returns the memory of the data received and not yet processed, in bytes.
+  [[nodiscard]] std::size_t buffered_bytes() const { return reader_.buffered_bytes(); }
+  // Returns the ID of the request in progress; 0 if there is none.
+  [[nodiscard]] std::uint64_t request_id() const { return request_id_; }
   // Returns whether the session is idle after a request and has no data in flight in either direction.
   bool is_settled();
   // Returns whether the session may be closed to make room for a new connection. False while a response is
@@ -131,6 +141,7 @@
 
   void enter(State state);
   void begin_close();
+  void release_buffers();
   [[nodiscard]] TimePoint now() const { return context_.clock.now(); }
   [[nodiscard]] bool is_client_stalled(TimePoint now) const;
   [[nodiscard]] bool is_close_due(TimePoint now);
--- a/src/client/request_reader.cpp
+++ b/src/client/request_reader.cpp
@@ -100,6 +100,10 @@
   return *remaining;
 }
 
+std::size_t RequestReader::buffered_bytes() const {
+  return input_.size() + body_.size() + (parser_ ? parser_->head_size() : 0);
+}
+
 std::string RequestReader::take_body() { return body_.take(); }
 
 }  // namespace quota_gateway::net
--- a/src/client/request_reader.hpp
+++ b/src/client/request_reader.hpp
@@ -53,6 +53,8 @@
   void clear_input() { input_.clear(); }
   [[nodiscard]] bool has_input() const { return !input_.empty(); }
   [[nodiscard]] std::size_t input_size() const { return input_.size(); }
+  // Returns the size of all data held: unparsed input, the head and the body.
+  [[nodiscard]] std::size_t buffered_bytes() const;
   // Whether the unparsed input exceeds the size limit for the head of a request.
   [[nodiscard]] bool is_input_oversized() const;
 
--- a/src/client/response_writer.cpp
+++ b/src/client/response_writer.cpp
@@ -109,6 +109,12 @@
   }
 }
 
+void ResponseWriter::cancel() {
+  state_ = State::kCancelled;
+  buffer_.clear();
+  next_buffer_.clear();
+}
+
 bool ResponseWriter::is_stalled(TimePoint now) const {
   return is_active() && is_write_pending_ && now - last_progress_at_ > kClientWriteTimeout;
 }
--- a/src/client/response_writer.hpp
+++ b/src/client/response_writer.hpp
@@ -58,8 +58,8 @@
   void write_chunk(const std::string& bytes);
   // Ends the streamed response; ignored if none is in progress.
   void finish_stream();
-  // Stops all further writes and callbacks, because the connection is closed.
-  void cancel() { state_ = State::kCancelled; }
+  // Frees the buffers and stops all further writes and callbacks, because the connection is closed.
+  void cancel();
 
   // Whether a streamed response has begun and is not finished.
   [[nodiscard]] bool is_streaming() const { return state_ == State::kStreaming; }
--- a/src/network/body_budget.hpp
+++ b/src/network/body_budget.hpp
@@ -33,6 +33,9 @@
   // Returns the highest value of used_bytes() since the last call.
   std::size_t take_peak_bytes();
 
+  // Sets whether the limits are reduced although the buffers themselves are within the budget.
+  void set_under_pressure(bool is_under_pressure) { is_process_under_pressure_ = is_under_pressure; }
+
   // The memory that one buffer holds. Releases it to the budget on destruction.
   class Share {
    public:
@@ -52,11 +55,14 @@
   };
 
  private:
-  [[nodiscard]] bool is_under_pressure() const { return used_bytes_ >= max_bytes_; }
+  [[nodiscard]] bool is_under_pressure() const {
+    return is_process_under_pressure_ || used_bytes_ >= max_bytes_;
+  }
 
   const std::size_t max_bytes_;
   std::size_t used_bytes_ = 0;
   std::size_t peak_bytes_ = 0;
+  bool is_process_under_pressure_ = false;
 };
 
 }  // namespace quota_gateway::net
--- a/src/network/message_parser.hpp
+++ b/src/network/message_parser.hpp
@@ -67,6 +67,8 @@
   [[nodiscard]] std::string_view target() const { return target_.bytes(); }
   [[nodiscard]] boost::beast::http::status status() const { return status_; }
   [[nodiscard]] unsigned version() const { return version_; }
+  // Returns the size of what is kept of the head, in bytes.
+  [[nodiscard]] std::size_t head_size() const { return fields_.size() + target_.size(); }
 
  private:
   using ErrorCode = boost::beast::error_code;
--- a/src/runtime/coordinator.cpp
+++ b/src/runtime/coordinator.cpp
@@ -26,12 +26,14 @@
 
 }  // namespace
 
-Coordinator::Coordinator(boost::asio::io_context& io, const Configuration& configuration, const Clock& clock)
+Coordinator::Coordinator(boost::asio::io_context& io, const Configuration& configuration, const Clock& clock,
+                         MemoryInUse memory_in_use)
     : settings_(derive_settings(configuration)),
       clock_(clock),
       timers_(io, clock),
       metrics_(settings_),
       body_budget_(body_buffer_bytes(configuration)),
+      memory_(clock, body_budget_, memory_bytes(configuration), std::move(memory_in_use)),
       decision_loop_(io, clock, settings_, configuration.seed, decision_callbacks()),
       forwarder_({.io = io,
                   .timers = timers_,
@@ -53,7 +55,7 @@
                    using Kind = EndpointListUpdate::Kind;
                    on_endpoint_update(update, update.complete ? Kind::kComplete : Kind::kPartial);
                  }),
-      client_listener_(io, timers_, clock, settings_, max_clients(configuration), body_budget_,
+      client_listener_(io, timers_, clock, settings_, max_clients(configuration), body_budget_, memory_,
                        client_callbacks()),
       shutdown_(timers_, client_listener_, forwarder_, max_client_timeout(settings_)) {
   if (configuration.counter_address) start_counter(io, configuration);
@@ -123,6 +125,8 @@
               [this](RequestId id, TimePoint last_byte_pending_since) {
                 forwarder_.on_body_lagging(id, last_byte_pending_since);
               },
+          .on_request_rejected = [this](const std::string& request_class,
+                                        int status) { metrics_.count_response(request_class, status); },
           .on_client_disconnected = [this](RequestId id) { forwarder_.on_client_disconnected(id); },
           .on_writable = [this](RequestId id) { forwarder_.on_writable(id); },
           .on_listening = [this] { handle_listening(); }};
--- a/src/runtime/coordinator.hpp
+++ b/src/runtime/coordinator.hpp
@@ -20,6 +20,7 @@
 #include "runtime/decision_loop.hpp"
 #include "runtime/graceful_shutdown.hpp"
 #include "runtime/heap_trimmer.hpp"
+#include "runtime/memory_monitor.hpp"
 #include "runtime/metrics.hpp"
 #include "runtime/request_forwarder.hpp"
 #include "runtime/timers.hpp"
@@ -31,7 +32,9 @@
 // dispatches the engine's actions. Runs in one event loop.
 class Coordinator {
  public:
-  Coordinator(boost::asio::io_context& io, const Configuration& configuration, const Clock& clock);
+  // `memory_in_use` measures the memory of the process; see MemoryMonitor.
+  Coordinator(boost::asio::io_context& io, const Configuration& configuration, const Clock& clock,
+              MemoryInUse memory_in_use = {});
 
   // Returns the address that clients connect to.
   [[nodiscard]] boost::asio::ip::tcp::endpoint address() const { return client_listener_.address(); }
@@ -73,7 +76,8 @@
   Timers timers_;
   Metrics metrics_;
   BodyBudget body_budget_;
-  HeapTrimmer heap_trimmer_{timers_, body_budget_};
+  MemoryMonitor memory_;
+  HeapTrimmer heap_trimmer_{timers_, memory_};
   DecisionLoop decision_loop_;
   RequestForwarder forwarder_;
   Upstream upstream_;
--- a/src/runtime/heap_trimmer.cpp
+++ b/src/runtime/heap_trimmer.cpp
@@ -22,9 +22,9 @@
 }
 
 void HeapTrimmer::check() {
-  const std::size_t peak = budget_.take_peak_bytes();
-  const std::size_t used = budget_.used_bytes();
-  if (peak - used < kMinFreedBytes || peak < kMinPeakToUsedRatio * used) return;
+  const std::size_t peak = memory_.take_peak_bytes();
+  const std::size_t used = memory_.used_bytes();
+  if (peak < used + kMinFreedBytes || peak < kMinPeakToUsedRatio * used) return;
   ::malloc_trim(kKeptFreeBytesAtEndOfHeap);
 }
 
--- a/src/runtime/heap_trimmer.hpp
+++ b/src/runtime/heap_trimmer.hpp
@@ -1,16 +1,16 @@
 // Returns freed memory to the system, which the allocator would otherwise keep.
 #pragma once
 
-#include "network/body_budget.hpp"
+#include "runtime/memory_monitor.hpp"
 #include "runtime/timers.hpp"
 
 namespace quota_gateway::net {
 
-// Trims the heap after the buffers of the connections have freed much of their memory. The allocator by
+// Trims the heap after much of its memory has been freed. The allocator by
 // itself returns only what lies at the end of the heap.
 class HeapTrimmer {
  public:
-  HeapTrimmer(Timers& timers, BodyBudget& budget) : timers_(timers), budget_(budget) {}
+  HeapTrimmer(Timers& timers, MemoryMonitor& memory) : timers_(timers), memory_(memory) {}
 
   // Begins to check periodically whether to trim the heap.
   void start();
@@ -19,7 +19,7 @@
   void check();
 
   Timers& timers_;
-  BodyBudget& budget_;
+  MemoryMonitor& memory_;
 };
 
 }  // namespace quota_gateway::net
--- a/src/runtime/main.cpp
+++ b/src/runtime/main.cpp
@@ -10,6 +10,7 @@
 #include "runtime/clock.hpp"
 #include "runtime/configuration_loader.hpp"
 #include "runtime/coordinator.hpp"
+#include "runtime/heap_meter.hpp"
 #include "runtime/reconfiguration.hpp"
 
 namespace {
@@ -45,7 +46,7 @@
   net::Configuration configuration = net::load_configuration();
   configuration.inherited_listener = net::inherited_listener();
   const net::Clock clock = make_clock(configuration);
-  net::Coordinator coordinator(io, configuration, clock);
+  net::Coordinator coordinator(io, configuration, clock, net::heap_bytes);
 
   stop_signals.async_wait([&](const boost::system::error_code& error, int) {
     if (error) return;
--- a/src/runtime/resource_limits.cpp
+++ b/src/runtime/resource_limits.cpp
@@ -17,12 +17,12 @@
 constexpr std::size_t kCustomerMemoryDivisor = 10;  // of the memory
 constexpr std::size_t kBytesPerCustomer = 512;      // at most, including the allocator's own
 
+}  // namespace
+
 std::size_t memory_bytes(const Configuration& configuration) {
   return configuration.memory_mb * kBytesPerMegabyte;
 }
 
-}  // namespace
-
 std::size_t max_upstream_connections(const Configuration& configuration) {
   return std::size_t(kUpstreamDescriptorShare * double(configuration.max_sockets - kReservedDescriptors));
 }
--- a/src/runtime/resource_limits.hpp
+++ b/src/runtime/resource_limits.hpp
@@ -11,6 +11,8 @@
 [[nodiscard]] std::size_t max_upstream_connections(const Configuration& configuration);
 // Returns the maximum number of client connections.
 [[nodiscard]] std::size_t max_clients(const Configuration& configuration);
+// Returns the memory limit of the process in bytes.
+[[nodiscard]] std::size_t memory_bytes(const Configuration& configuration);
 // Returns the memory budget in bytes for all request and response bodies that are buffered at the same time.
 [[nodiscard]] std::size_t body_buffer_bytes(const Configuration& configuration);
 
--- a/tests/client/shutdown_test.cpp
+++ b/tests/client/shutdown_test.cpp
@@ -27,6 +27,7 @@
   std::string body = "x";  // sent in each response
   int request_count = 0;
   BodyBudget budget{1 << 20};
+  MemoryMonitor memory{clock, budget, 1 << 30, {}};
   ClientListener::Callbacks callbacks(ClientListener& target) {
     return {.on_request =
                 [this, &target](std::uint64_t client, ClientRequest) {
@@ -40,7 +41,7 @@
             .on_writable = [](std::uint64_t) {},
             .on_listening = [] {}};
   }
-  ClientListener listener{io, timers, clock, settings, 100, budget, callbacks(listener)};
+  ClientListener listener{io, timers, clock, settings, 100, budget, memory, callbacks(listener)};
 };
 
 TEST_F(ClientListenerTest, DrainRespondsToUnreadRequestOfIdleClient) {
@@ -107,7 +108,7 @@
 }
 
 TEST_F(ClientListenerTest, DoesNotEvictClientWithUnacknowledgedResponse) {
-  ClientListener small_listener{io, timers, clock, settings, 2, budget, callbacks(small_listener)};
+  ClientListener small_listener{io, timers, clock, settings, 2, budget, memory, callbacks(small_listener)};
   small_listener.listen({asio::ip::address_v4::loopback(), 0}, std::nullopt);
   Client first(io, small_listener.address());
   Client second(io, small_listener.address());
@@ -131,7 +132,7 @@
 
 TEST_F(ClientListenerTest, ClosingConnectionsDoNotDelayNewClients) {
   // Guards against new requests waiting in the backlog while invalid clients keep their connections open.
-  ClientListener small_listener{io, timers, clock, settings, 2, budget, callbacks(small_listener)};
+  ClientListener small_listener{io, timers, clock, settings, 2, budget, memory, callbacks(small_listener)};
   small_listener.listen({asio::ip::address_v4::loopback(), 0}, std::nullopt);
   clock.stop();
   std::deque<Client> invalid_clients;
@@ -151,7 +152,7 @@
 }
 
 TEST_F(ClientListenerTest, DoesNotEvictClientWithUnreadRequest) {
-  ClientListener small_listener{io, timers, clock, settings, 2, budget, callbacks(small_listener)};
+  ClientListener small_listener{io, timers, clock, settings, 2, budget, memory, callbacks(small_listener)};
   small_listener.listen({asio::ip::address_v4::loopback(), 0}, std::nullopt);
   Client first(io, small_listener.address());
   Client second(io, small_listener.address());
--- a/tests/runtime/memory_limit_test.cpp
+++ b/tests/runtime/memory_limit_test.cpp
@@ -3,6 +3,7 @@
 #include <gtest/gtest.h>
 
 #include <cstdio>
+#include <random>
 
 #include "support/process.hpp"
 
@@ -31,6 +32,13 @@
     };
     auto json = nlohmann::json::parse(configuration_json(port_, endpoint_, discovery_));
     json["limits"]["memory_mb"] = kMemoryLimitMb;
+    json["settings"]["Classes"].push_back({{"Name", "intro-request"},
+                                           {"Repeat", "keyed"},
+                                           {"DedupScope", "all"},
+                                           {"WindowUs", 10'000'000},
+                                           {"ObjectiveUs", 3'000'000},
+                                           {"GiveUpUs", 30'000'000},
+                                           {"Importance", 1.0}});
     auto& plan = json["settings"]["TiersOfService"][0];
     plan["QuotaRate"] = plan["Depth"] = 1e9;
     gateway_.emplace(json.dump());
@@ -155,5 +163,116 @@
   expect_peak_below_limit();
 }
 
+// One connection of a crowd: what it sends, and whether it reads what it gets.
+struct PeerScript {
+  std::string text;
+  bool reads = false;
+};
+
+std::string post_with_body(const std::string& id, std::size_t declared_size, std::size_t sent_size) {
+  return "POST /intro-request/00000000b4d65521 HTTP/1.1\r\nHost: origin.svc\r\nX-Trace-Id: " + id +
+         "\r\nPlan: plan-group\r\nX-Expires-In: 4000m\r\nIdempotency-Key: k-" + id +
+         "\r\nContent-Length: " + std::to_string(declared_size) +
+         "\r\nQuota-Info: units=1,spread=1,first=0\r\n\r\n" + std::string(sent_size, 'q');
+}
+
+PeerScript random_script(std::mt19937& random, int index) {
+  const std::string id = "c" + std::to_string(index);
+  const auto any_of = [&](int min, int max) { return std::uniform_int_distribution<int>(min, max)(random); };
+  switch (any_of(0, 8)) {
+    case 0:
+      return {unfinished_head_of_short_fields(any_of(100, 2000))};
+    case 1:
+      return {"GET /profile-read/00000000b4d65521 HTTP/1.1\r\nX-Trace-Id: " + std::string(8'000, 't') +
+              "\r\n"};
+    case 2:  // stops half way through a body that is buffered whole
+      return {post_with_body(id, 64'000, std::size_t(any_of(1'000, 63'000)))};
+    case 3:  // stops half way through a long body
+      return {post_with_body(id, 6'000'000, std::size_t(any_of(100'000, 400'000)))};
+    case 4:  // does not read a long response
+      return {get_request("long-" + id)};
+    case 5:
+      return {get_request("long-" + id), true};
+    case 6:
+      return {post_with_body(id, 60'000, 60'000), true};
+    case 7:
+      return {request_of_customer(index, "3600000m"), true};
+    default:
+      return {};
+  }
+}
+
+class MixedLoadTest : public MemoryLimitTest, public ::testing::WithParamInterface<unsigned> {
+ protected:
+  MixedLoadTest() {
+    endpoint_.on_request = [this](Peer& peer, const HttpRequest& request) {
+      const bool is_long = request["X-Trace-Id"].starts_with("long-");
+      const auto response =
+          std::make_shared<std::string>(reply("200 OK", "", std::string(is_long ? 1'000'000 : 2'000, 'r')));
+      asio::async_write(peer.socket, asio::buffer(*response),
+                        [response, self = peer.shared_from_this()](error_code, std::size_t) {});
+      endpoint_.requests.clear();
+    };
+  }
+  void write_all(tcp::socket& socket, std::string text) {
+    const auto bytes = std::make_shared<std::string>(std::move(text));
+    asio::async_write(socket, asio::buffer(*bytes), [bytes](error_code, std::size_t) {});
+  }
+  void read_all(tcp::socket& socket) {
+    socket.async_read_some(asio::buffer(discarded_), [this, &socket](error_code ec, std::size_t) {
+      if (!ec) read_all(socket);
+    });
+  }
+  void add_peer(const PeerScript& script) {
+    peers_.push_back(connect());
+    write_all(peers_.back(), script.text);
+    if (script.reads) read_all(peers_.back());
+  }
+
+  // Has a client send one request after the other, with more peers before each one.
+  void expect_honest_clients_are_answered(int request_count, const std::function<void()>& add_peers) {
+    int answered = 0;
+    int served = 0;
+    for (int i = 0; i < request_count; ++i) {
+      add_peers();
+      Client client(io_, {asio::ip::address_v4::loopback(), port_});
+      client.send(get_request("honest" + std::to_string(i)));
+      const auto response = client.receive();
+      answered += response.has_value();
+      served += response && response->result_int() == 200;
+    }
+    std::printf("%d answered, %d served of %d\n", answered, served, request_count);
+    EXPECT_EQ(answered, request_count);
+  }
+  std::array<char, 1 << 16> discarded_{};
+  std::mt19937 random_{GetParam()};
+};
+
+TEST_P(MixedLoadTest, PeersThatComeOverTimeStayBelowMemoryLimit) {
+  constexpr int kPeersPerRequest = 15;
+  expect_honest_clients_are_answered(40 / kLoadDivisor, [&] {
+    for (int i = 0; i < kPeersPerRequest; ++i) add_peer(random_script(random_, int(peers_.size())));
+  });
+  run_for(io_, 1'000);
+  expect_peak_below_limit();
+}
+
+TEST_P(MixedLoadTest, BurstOfPeersAtAFreshProcessStaysBelowMemoryLimit) {
+  for (int i = 0; i < 600 / kLoadDivisor; ++i) add_peer(random_script(random_, i));
+  expect_honest_clients_are_answered(5, [&] { run_for(io_, 100); });
+  expect_peak_below_limit();
+}
+
+TEST_P(MixedLoadTest, HalfBodiesToEndpointsThatDoNotReadStayBelowMemoryLimit) {
+  endpoint_.acceptor.cancel();  // its connections stay in the backlog
+  for (int i = 0; i < 500 / kLoadDivisor; ++i) {
+    const std::string id = "c" + std::to_string(i);
+    add_peer({i % 2 == 0 ? post_with_body(id, 64'000, 63'000) : post_with_body(id, 6'000'000, 400'000)});
+  }
+  run_for(io_, 1'500);
+  expect_peak_below_limit();
+}
+INSTANTIATE_TEST_SUITE_P(Seeds, MixedLoadTest, ::testing::Values(1, 2, 3));
+
 }  // namespace
 }  // namespace quota_gateway::net::testing
--- a/tests/support/loopback.hpp
+++ b/tests/support/loopback.hpp
@@ -340,7 +340,7 @@
   void add_endpoint(const DiscoveredEndpoint& endpoint) {
     config.initial_endpoints.endpoints.push_back(endpoint);
   }
-  Coordinator& start() { return coordinator.emplace(io, config, clock); }
+  Coordinator& start() { return coordinator.emplace(io, config, clock, memory_in_use); }
   Client client() { return {io, coordinator->address()}; }
   bool run_until(const std::function<bool()>& done) { return testing::run_until(io, done); }
 
@@ -348,6 +348,7 @@
   TestClock clock;
   FakeDiscovery discovery;
   Configuration config;
+  MemoryInUse memory_in_use;  // replaces that of the buffers
   std::optional<Coordinator> coordinator;
 };
 
