Add failing tests: a slow response of unknown length is given up

What callers see: 503 for a response of 200 kB in chunks, or ended by the close, that an endpoint writes at 100 kB a second: at the client's timeout of 620 ms (600 ms after the request), or long before a timeout of 4 s when the attempt takes several times as long as others.

Cause: a response of unknown length is buffered up to 64 KiB. Until then nobody but its connection knows that it is arriving: the attempt's timeout ends it, and SlowAttemptCheck cancels it as that of a stalled endpoint, which with no other endpoint to try gives a 503 at once.

--- a/tests/client/body_transfer_test.cpp
+++ b/tests/client/body_transfer_test.cpp
@@ -170,6 +170,72 @@
   EXPECT_TRUE(response->body() == body + std::string(30, 'x'));
 }
 
+// An endpoint that sends a long response of unknown length slowly, in real time. Parameters: whether the
+// response is chunked (otherwise it ends with the connection), and the milliseconds between head and body.
+class SlowResponseTest : public BodyTransferTest,
+                         public ::testing::WithParamInterface<std::tuple<bool, int>> {
+ protected:
+  SlowResponseTest() {
+    rig.config.settings.allow_cancel = true;
+    first_endpoint.on_request = [this](Peer& connection, const HttpRequest&) {
+      connection.write(is_chunked ? FakeDiscovery::kResponseHead : "HTTP/1.1 200 OK\r\n\r\n");
+      write_rest_after(body_delay_ms, connection.shared_from_this(), 0);
+    };
+  }
+  void write_rest_after(int milliseconds, const std::shared_ptr<Peer>& peer, std::size_t offset) {
+    const auto timer = std::make_shared<asio::steady_timer>(rig.io, std::chrono::milliseconds(milliseconds));
+    timer->async_wait([this, timer, peer, offset](error_code) {
+      const std::string piece = body.substr(offset, kPieceSize);
+      if (!piece.empty()) {
+        peer->write(is_chunked ? FakeDiscovery::chunk(piece) : piece);
+        return write_rest_after(kPieceIntervalMs, peer, offset + piece.size());
+      }
+      if (is_chunked) return peer->write("0\r\n\r\n");
+      peer->close();
+    });
+  }
+  static constexpr std::size_t kPieceSize = 2'000;
+  static constexpr int kPieceIntervalMs = 20;  // 100 kB per second
+  const bool is_chunked = std::get<0>(GetParam());
+  const int body_delay_ms = std::get<1>(GetParam());
+  const std::string body = make_body(200'000);
+};
+
+TEST_P(SlowResponseTest, LongResponseOfUnknownLengthArrivesWholeAfterTheClientTimeout) {
+  rig.start();
+  Client client = rig.client();
+  std::string request = get_request("a");
+  request.replace(request.find("4000m"), 5, "620m");
+  client.send(request);
+  const auto response = client.receive();
+  ASSERT_TRUE(response);
+  EXPECT_EQ(response->result_int(), 200u);
+  EXPECT_TRUE(response->body() == body);
+  EXPECT_EQ(first_endpoint.requests.size(), 1u);
+}
+
+TEST_P(SlowResponseTest, ResponseInProgressIsNotCancelledAsSlowLongBeforeTheClientTimeout) {
+  FakeEndpoint fast_endpoint(rig.io);  // responses of a millisecond make an attempt slow after ten
+  rig.start();
+  const auto slow_handler = first_endpoint.on_request;
+  first_endpoint.on_request = fast_endpoint.on_request;
+  Client client = rig.client();
+  for (int i = 0; i < 20; ++i) {
+    client.send(get_request("fast"));
+    ASSERT_TRUE(client.receive());
+    run_for(rig.io, 25);
+  }
+  first_endpoint.on_request = slow_handler;
+  client.send(get_request("slow"));
+  const auto response = client.receive();
+  ASSERT_TRUE(response);
+  EXPECT_EQ(response->result_int(), 200u);
+  EXPECT_TRUE(response->body() == body);
+  EXPECT_EQ(first_endpoint.requests.size(), 21u);
+}
+INSTANTIATE_TEST_SUITE_P(Framings, SlowResponseTest,
+                         ::testing::Combine(::testing::Bool(), ::testing::Values(20, 500)));
+
 TEST_F(BodyTransferTest, EndsAttemptWhenClientDisconnectsDuringResponse) {
   first_endpoint.on_request = [&](Peer& connection, const HttpRequest&) {
     connection.write("HTTP/1.1 200 OK\r\nContent-Length: 900000\r\n\r\n" + make_body(100'000));
