Forward a slow response of unknown length instead of giving it up

What callers saw: 503 for long chunked responses, and for those ended by a close, at the client's timeout or seconds before.

Cause: a response of unknown length was buffered up to 64 KiB however long that took, and the decision engine did not know that it was arriving. Its slow-attempt check cancelled the attempt as stalled, or the attempt's timeout ended it.

Change: once the head of a successful response of unknown length has arrived without its whole body, ResponseBegun tells the engine, which leaves such an attempt alone. After 100 ms, or at the attempt's timeout if that comes first, what has arrived is forwarded and the rest follows as it comes. Until then a response that breaks off can be retried as before. A streamed response may pause for 1 s after its last bytes (400 ms before), and ends as before 400 ms after its deadline if it paused for that long: an endpoint that sends lumps 0.8 s apart was cut off.

--- a/include/quota_gateway/events.hpp
+++ b/include/quota_gateway/events.hpp
@@ -82,6 +82,13 @@
   TimePoint deadline = 0;
 };
 
+// The head of an attempt's successful response has arrived, and its body of unknown length is arriving. It is
+// forwarded unless it is complete soon.
+struct ResponseBegun {
+  std::string id;
+  int attempt = 0;
+};
+
 // The response of an attempt is being forwarded to the client, so no other response can be sent. The
 // AttemptEnded event comes later.
 struct ResponseStarted {
@@ -169,9 +176,9 @@
 // The successor process has ended. This process admits requests again.
 struct HotRestartAborted {};
 
-using Event =
-    std::variant<EndpointListUpdate, RequestArrived, ResponseStarted, AttemptEnded, RequestCancelled,
-                 TimerFired, ProbeEnded, CounterReply, AdminStateChanged, RequestBodyCompleted, StateRestored,
-                 PredecessorAttempts, HotRestartAborted, WallClockStepped>;
+using Event = std::variant<EndpointListUpdate, RequestArrived, ResponseBegun, ResponseStarted, AttemptEnded,
+                           RequestCancelled, TimerFired, ProbeEnded, CounterReply, AdminStateChanged,
+                           RequestBodyCompleted, StateRestored, PredecessorAttempts, HotRestartAborted,
+                           WallClockStepped>;
 
 }  // namespace quota_gateway
--- a/src/decision/attempt_events.cpp
+++ b/src/decision/attempt_events.cpp
@@ -31,6 +31,12 @@
   dispatcher_.on_body_completed(*request, event.deadline);
 }
 
+void AttemptEventHandler::on_response_begun(const ResponseBegun& event) {
+  Request* request = requests_.find(event.id);
+  if (request == nullptr) return;
+  if (Attempt* attempt = find_in_flight(*request, event.attempt)) attempt->is_responding = true;
+}
+
 void AttemptEventHandler::on_response_started(const ResponseStarted& event) {
   Request* request = requests_.find(event.id);
   if (request == nullptr) return;
--- a/src/decision/attempt_events.hpp
+++ b/src/decision/attempt_events.hpp
@@ -17,6 +17,7 @@
                       RetryHandler& retries, RequestCompletion& completion);
 
   void on_body_completed(const RequestBodyCompleted& event);
+  void on_response_begun(const ResponseBegun& event);
   void on_response_started(const ResponseStarted& event);
   void on_attempt_ended(const AttemptEnded& event);
 
--- a/src/decision/decision_engine.cpp
+++ b/src/decision/decision_engine.cpp
@@ -76,6 +76,7 @@
   void on_event(const AdminStateChanged& event);
   void on_event(const RequestArrived& event);
   void on_event(const RequestBodyCompleted& event) { attempt_events_.on_body_completed(event); }
+  void on_event(const ResponseBegun& event) { attempt_events_.on_response_begun(event); }
   void on_event(const ResponseStarted& event) { attempt_events_.on_response_started(event); }
   void on_event(const AttemptEnded& event) { attempt_events_.on_attempt_ended(event); }
   void on_event(const RequestCancelled& event);
--- a/src/decision/request_state.hpp
+++ b/src/decision/request_state.hpp
@@ -22,6 +22,7 @@
   bool in_flight = true;
   bool may_have_executed = true;
   bool cancelled_as_stalled = false;  // its endpoint had stopped responding
+  bool is_responding = false;         // its response has begun to arrive
   bool result_recorded = false;       // the response was recorded when it started
 };
 
--- a/src/decision/slow_attempt_check.cpp
+++ b/src/decision/slow_attempt_check.cpp
@@ -8,7 +8,7 @@
 
 void SlowAttemptCheck::on_check_due(Request& request, int attempt_index) {
   Attempt& attempt = request.attempts[std::size_t(attempt_index)];
-  if (!attempt.in_flight || attempt.cancelled_as_stalled) return;
+  if (!attempt.in_flight || attempt.cancelled_as_stalled || attempt.is_responding) return;
   if (is_repeatable(*request.request_class) && retry_budget_.has_token()) {
     if (context_.settings().allow_hedging) {
       hedge(request);
--- a/src/decision/slow_attempt_check.hpp
+++ b/src/decision/slow_attempt_check.hpp
@@ -9,7 +9,7 @@
 namespace quota_gateway::decision {
 
 // Hedges a slow attempt if hedging is allowed; otherwise cancels it if its endpoint seems to have stalled.
-// Either consumes a token of the retry budget.
+// Either consumes a token of the retry budget. An attempt whose response is arriving is left alone.
 class SlowAttemptCheck {
  public:
   SlowAttemptCheck(DecisionContext& context, AttemptDispatcher& dispatcher, RetryBudget& retry_budget)
--- a/src/runtime/coordinator.cpp
+++ b/src/runtime/coordinator.cpp
@@ -104,6 +104,7 @@
                 forwarder_.on_attempt_ended(key, std::move(result));
               },
           .on_request_written = [this] { metrics_.count_attempt(); },
+          .on_response_begun = [this](AttemptKey key) { forwarder_.on_response_begun(key); },
           .on_response_started =
               [this](AttemptKey key, const AttemptResult& head, ResponseLength length) {
                 forwarder_.on_response_started(key, head, length);
--- a/src/runtime/request_forwarder.cpp
+++ b/src/runtime/request_forwarder.cpp
@@ -14,8 +14,10 @@
 // The decision engine gives the final response by the deadline. If it has not, the forwarder does so after
 // this delay.
 constexpr Duration kFallbackResponseDelay = 10'000;  // us
-// A response that is forwarded in chunks may continue after its deadline, but may not stall for this long.
-constexpr Duration kStreamStallTimeout = 400'000;  // us
+// A response that is forwarded in chunks may continue after its deadline, but may not stall: neither from its
+// deadline on, nor for long after its last bytes.
+constexpr Duration kStallTimeoutAfterDeadline = 400'000;  // us
+constexpr Duration kStreamStallTimeout = 1'000'000;       // us
 // Deadline of a request while its body is uploaded: the client's timeout starts only with the last byte of
 // the body, and the client listener ends uploads that stall.
 constexpr Duration kUploadTimeout = 3'600'000'000;  // us
@@ -147,9 +149,10 @@
 void RequestForwarder::on_attempt_timeout(AttemptKey key) {
   RequestRecord* request = requests_.find(key.request_id);
   if (request == nullptr || !request->attempt(key.attempt).in_flight) return;
+  if (!request->is_answered()) upstream_.start_streaming(key);
   if (request->is_streamed_from(key.attempt)) {
-    const TimePoint last_progress_at = std::max(request->deadline, upstream_.last_progress_at(key));
-    const TimePoint stalled_at = last_progress_at + kStreamStallTimeout;
+    const TimePoint stalled_at = std::max(request->deadline + kStallTimeoutAfterDeadline,
+                                          upstream_.last_progress_at(key) + kStreamStallTimeout);
     if (timers_.now() < stalled_at) {
       schedule_attempt_timeout(*request, key.attempt, stalled_at);
       return;
@@ -161,6 +164,10 @@
 }
 
 // ---- Attempts -------------------------------------------------------------------------------------------
+void RequestForwarder::on_response_begun(AttemptKey key) {
+  decision_loop_.push(ResponseBegun{std::to_string(key.request_id), key.attempt});
+}
+
 void RequestForwarder::on_response_started(AttemptKey key, const AttemptResult& head,
                                            std::optional<std::uint64_t> length) {
   RequestRecord* request = requests_.find(key.request_id);
--- a/src/runtime/request_forwarder.hpp
+++ b/src/runtime/request_forwarder.hpp
@@ -44,6 +44,7 @@
   void on_writable(RequestId id);
 
   // Events of attempts.
+  void on_response_begun(AttemptKey key);
   void on_response_started(AttemptKey key, const AttemptResult& head, std::optional<std::uint64_t> length);
   void on_response_chunk(AttemptKey key, const std::string& bytes);
   void on_attempt_ended(AttemptKey key, AttemptResult result);
--- a/src/upstream/connection.cpp
+++ b/src/upstream/connection.cpp
@@ -20,6 +20,8 @@
 using asio::ip::tcp;
 
 constexpr Duration kConnectRetryInterval = 20'000;  // us
+// How long a response of unknown length is buffered, so that the request can be retried if it breaks off.
+constexpr Duration kMaxBufferingTime = 100'000;  // us
 
 }  // namespace
 
@@ -99,6 +101,7 @@
   writer_.start(deadline_ - context_.clock.now());
   reader_.start();
   is_read_paused_ = false;
+  is_response_begun_ = false;
   read_when_ready();
   write_available_bytes();
 }
@@ -178,20 +181,43 @@
 
 void Connection::on_bytes_read(std::size_t size) {
   last_progress_at_ = context_.clock.now();
-  const auto on_started = [this](const AttemptResult& head, std::optional<std::uint64_t> length) {
-    context_.observer.on_response_started(attempt_key_, head, length);
-    return state_ != State::kClosed;
-  };
-  const ResponseReader::Status status = reader_.consume({context_.read_buffer.data(), size}, on_started);
+  const ResponseReader::Status status =
+      reader_.consume({context_.read_buffer.data(), size}, started_callback());
   if (status == ResponseReader::Status::kAborted) return;
   if (status == ResponseReader::Status::kInvalid) return end_attempt(Outcome::kReset);
   if (status == ResponseReader::Status::kFailed) return end_attempt(reader_.take_result(), false);
-  if (reader_.has_streamed_bytes()) {
-    is_read_paused_ = true;
-    context_.observer.on_response_chunk(attempt_key_, reader_.take_streamed_bytes());
-    if (state_ == State::kClosed) return;
-  }
-  if (status == ResponseReader::Status::kComplete) on_response_complete();
+  deliver_streamed_bytes();
+  if (state_ == State::kClosed) return;
+  if (status == ResponseReader::Status::kComplete) return on_response_complete();
+  if (!is_response_begun_ && reader_.can_start_streaming()) on_response_begun();
+}
+
+ResponseReader::StartedCallback Connection::started_callback() {
+  return [this](const AttemptResult& head, std::optional<std::uint64_t> length) {
+    context_.observer.on_response_started(attempt_key_, head, length);
+    return state_ != State::kClosed;
+  };
+}
+
+void Connection::deliver_streamed_bytes() {
+  if (!reader_.has_streamed_bytes()) return;
+  is_read_paused_ = true;
+  context_.observer.on_response_chunk(attempt_key_, reader_.take_streamed_bytes());
+}
+
+void Connection::on_response_begun() {
+  is_response_begun_ = true;
+  context_.observer.on_response_begun(attempt_key_);
+  context_.timers.schedule_after(kMaxBufferingTime, [weak_self = weak_from_this(), key = attempt_key_] {
+    const auto self = weak_self.lock();
+    if (self && self->attempt_key_ == key) self->start_streaming();
+  });
+}
+
+void Connection::start_streaming() {
+  const bool has_attempt = state_ == State::kWriting || state_ == State::kAwaitingResponse;
+  if (!has_attempt || !reader_.can_start_streaming()) return;
+  if (reader_.start_streaming(started_callback())) deliver_streamed_bytes();
 }
 
 void Connection::on_response_complete() {
--- a/src/upstream/connection.hpp
+++ b/src/upstream/connection.hpp
@@ -30,8 +30,10 @@
   [[nodiscard]] virtual bool is_address_current(const Connection& connection) = 0;
   // Called when the last byte of an attempt has been written.
   virtual void on_request_written() = 0;
-  // Called when a response that is too large to buffer begins; its body follows in chunks. `length` is the
-  // length of the body, or std::nullopt if it is unknown.
+  // Called when the head of a successful response of unknown length has arrived without the whole body.
+  virtual void on_response_begun(AttemptKey key) = 0;
+  // Called when a response that is too large to buffer begins, or one that takes long; its body follows in
+  // chunks. `length` is the length of the body, or std::nullopt if it is unknown.
   virtual void on_response_started(AttemptKey key, const AttemptResult& head,
                                    std::optional<std::uint64_t> length) = 0;
   // Called with a chunk of such a body. Reading then pauses until resume_reading() is called.
@@ -78,6 +80,9 @@
 
   // Starts an attempt on a new or idle connection. Its end is reported later, never from within this call.
   void start_attempt(AttemptKey key, const OutgoingRequest& request, TimePoint deadline);
+  // Forwards what has arrived of a successful response of unknown length instead of buffering it. Has no
+  // effect if there is no such response.
+  void start_streaming();
   // Continues reading after a chunk of the response has been delivered.
   void resume_reading();
   // Returns when the response last made progress: the current time while received bytes are unread or reading
@@ -117,6 +122,9 @@
   void read_when_ready();
   void on_readable(ErrorCode error);
   void on_bytes_read(std::size_t size);
+  void on_response_begun();
+  [[nodiscard]] ResponseReader::StartedCallback started_callback();
+  void deliver_streamed_bytes();
   void on_response_complete();
   void on_connection_lost(const ErrorCode& error);
 
@@ -135,6 +143,7 @@
   TimePoint last_progress_at_ = 0;
   TimePoint idle_since_ = 0;
   bool is_read_pending_ = false;            // waiting for the socket to become readable
+  bool is_response_begun_ = false;          // and was reported
   bool is_read_paused_ = false;             // until the client has received the latest chunk
   bool has_local_connect_failure_ = false;  // the last connect failed because of this machine
   bool was_reset_during_write_ = false;     // the endpoint reset the connection
--- a/src/upstream/response_reader.cpp
+++ b/src/upstream/response_reader.cpp
@@ -114,6 +114,16 @@
   return on_started(head, length) ? Status::kIncomplete : Status::kAborted;
 }
 
+bool ResponseReader::can_start_streaming() const {
+  if (!parser_ || is_streaming_ || !parser_->is_header_done() || parser_->is_done()) return false;
+  return !parser_->content_length() && classify_response(*parser_) == Outcome::kOk;
+}
+
+bool ResponseReader::start_streaming(const StartedCallback& on_started) {
+  is_streaming_ = true;
+  return on_started(result_from_head(*parser_), std::nullopt);
+}
+
 bool ResponseReader::is_interim_response() const {
   return parser_->is_done() && http::to_status_class(parser_->status()) == http::status_class::informational;
 }
--- a/src/upstream/response_reader.hpp
+++ b/src/upstream/response_reader.hpp
@@ -43,6 +43,12 @@
   // a response without a length.
   bool complete_at_close();
 
+  // Returns whether the head of a successful response of unknown length has arrived, and its body, which is
+  // not complete, is buffered.
+  [[nodiscard]] bool can_start_streaming() const;
+  // Starts to stream such a response before the buffer is full. Returns false if `on_started` ended the
+  // attempt.
+  bool start_streaming(const StartedCallback& on_started);
   // Returns whether the response is streamed: the client has received a part of it, or is about to.
   [[nodiscard]] bool is_streaming() const { return is_streaming_; }
   [[nodiscard]] bool has_streamed_bytes() const { return is_streaming_ && !body_.empty(); }
--- a/src/upstream/upstream.cpp
+++ b/src/upstream/upstream.cpp
@@ -51,6 +51,13 @@
   return true;
 }
 
+void Upstream::start_streaming(AttemptKey key) {
+  const auto found = attempts_.find(key);
+  if (found == attempts_.end()) return;
+  const std::shared_ptr<Connection> connection = found->second;
+  connection->start_streaming();
+}
+
 void Upstream::resume_reading(AttemptKey key) {
   const auto found = attempts_.find(key);
   if (found == attempts_.end()) return;
@@ -69,6 +76,8 @@
 
 void Upstream::on_request_written() { callbacks_.on_request_written(); }
 
+void Upstream::on_response_begun(AttemptKey key) { callbacks_.on_response_begun(key); }
+
 void Upstream::on_response_started(AttemptKey key, const AttemptResult& head,
                                    std::optional<std::uint64_t> length) {
   callbacks_.on_response_started(key, head, length);
--- a/src/upstream/upstream.hpp
+++ b/src/upstream/upstream.hpp
@@ -29,9 +29,11 @@
     std::function<void(AttemptKey, AttemptResult)> on_attempt_ended;
     // Called when the last byte of an attempt has been written; once per attempt.
     std::function<void()> on_request_written;
-    // Called when a successful response that is too large to buffer begins; `length` is the length of its
-    // body, or std::nullopt if it is unknown. The chunks of the body follow, each but the first after a call
-    // of resume_reading(), and then the end of the attempt.
+    // Called when the head of a successful response of unknown length has arrived without the whole body.
+    std::function<void(AttemptKey)> on_response_begun;
+    // Called when a successful response begins that is too large to buffer or takes long; `length` is the
+    // length of its body, or std::nullopt if it is unknown. The chunks of the body follow, each but the first
+    // after a call of resume_reading(), and then the end of the attempt.
     std::function<void(AttemptKey, const AttemptResult&, std::optional<std::uint64_t> length)>
         on_response_started;
     // Called with a chunk of the body of such a response.
@@ -62,6 +64,8 @@
   bool cancel(AttemptKey key);
   // Cancels the attempt if its last byte is not written yet. Returns whether it was cancelled.
   bool cancel_unless_written(AttemptKey key);
+  // Forwards what has arrived of a successful response of unknown length instead of buffering it.
+  void start_streaming(AttemptKey key);
   // Continues reading a streamed response once the client has received the latest chunk.
   void resume_reading(AttemptKey key);
   // Returns when the response last made progress (see Connection), or 0 if the attempt is not in flight.
@@ -70,6 +74,7 @@
  private:
   [[nodiscard]] bool is_address_current(const Connection& connection) override;
   void on_request_written() override;
+  void on_response_begun(AttemptKey key) override;
   void on_response_started(AttemptKey key, const AttemptResult& head,
                            std::optional<std::uint64_t> length) override;
   void on_response_chunk(AttemptKey key, std::string bytes) override;
--- a/tests/upstream/upstream_fixture.hpp
+++ b/tests/upstream/upstream_fixture.hpp
@@ -75,6 +75,7 @@
         .on_attempt_ended = [this](AttemptKey key,
                                    AttemptResult result) { results.emplace_back(key, std::move(result)); },
         .on_request_written = [this] { ++written_attempts; },
+        .on_response_begun = [](AttemptKey) {},
         .on_response_started =
             [this](AttemptKey, const AttemptResult&, std::optional<std::uint64_t> length) {
               streamed_lengths.push_back(length);
