Add failing test: a chunked upload that is read slowly is answered late

What callers see: 504 seconds after their time, when an endpoint reads a long chunked body slowly.

Cause: for a body without a length, LastByteEstimator takes the last read for the time until which the client had not sent its last byte. Reads go on at the endpoint's pace, long after the client's kernel has taken all of the body.

Measured (arm64, release): 6 MB sent within 5 ms, read at 600 kB a second, timeout 3 s: 504 after 7.35 s, twice.

--- a/tests/client/body_transfer_test.cpp
+++ b/tests/client/body_transfer_test.cpp
@@ -434,6 +434,62 @@
   slow_client.socket.close();
 }
 
+// An endpoint that reads a long chunked body slowly, in real time, while the client sends it as fast as it
+// can.
+class SlowlyReadUploadTest : public BodyTransferTest {
+ protected:
+  using SteadyClock = std::chrono::steady_clock;
+
+  SlowlyReadUploadTest() {
+    DiscoveredEndpoint endpoint = discovered_endpoint("s2", first_endpoint);
+    acceptor.set_option(asio::socket_base::receive_buffer_size(kReceiveBuffer));
+    endpoint.address = acceptor.local_endpoint();
+    rig.config.initial_endpoints.endpoints = {endpoint};
+    acceptor.async_accept(accepted, [this](error_code ec) {
+      if (!ec) read_slowly();
+    });
+    rig.start();
+  }
+  void read_slowly() {
+    read_timer.expires_after(std::chrono::milliseconds(kReadIntervalMs));
+    read_timer.async_wait([this](error_code ec) {
+      if (ec) return;
+      accepted.non_blocking(true);
+      accepted.read_some(asio::buffer(part), ec);
+      read_slowly();
+    });
+  }
+  static std::string chunked_body(std::size_t size) {
+    constexpr std::size_t kChunkSize = 50'000;
+    std::string text;
+    for (std::size_t sent = 0; sent < size; sent += kChunkSize)
+      text += FakeDiscovery::chunk(std::string(kChunkSize, 'x'));
+    return text + "0\r\n\r\n";
+  }
+  static constexpr int kReceiveBuffer = 64 << 10;  // of the endpoint's kernel
+  static constexpr int kReadIntervalMs = 20;
+  std::vector<char> part = std::vector<char>(12'000);  // 600 kB per second
+  tcp::acceptor acceptor{rig.io, {asio::ip::address_v4::loopback(), 0}};
+  tcp::socket accepted{rig.io};
+  asio::steady_timer read_timer{rig.io};
+};
+
+TEST_F(SlowlyReadUploadTest, FinalResponseComesWithinHalfASecondOfTheClientTimeout) {
+  constexpr std::chrono::milliseconds kTimeout{3000};
+  constexpr std::chrono::milliseconds kMaxDelay{500};
+  std::string request = upload_request("a", "Transfer-Encoding: chunked\r\n");
+  request.replace(request.find("4000m"), 5, "3000m");
+  request += chunked_body(6'000'000);
+  Client client = rig.client();
+  std::optional<SteadyClock::time_point> sent_at;
+  asio::async_write(client.socket, asio::buffer(request),
+                    [&](error_code, std::size_t) { sent_at = SteadyClock::now(); });
+  EXPECT_EQ(receive_status(client), 504);
+  const auto answered_at = SteadyClock::now();
+  const auto due_at = sent_at.value_or(answered_at) + kTimeout + kMaxDelay;
+  EXPECT_LT(answered_at, due_at);
+}
+
 TEST_F(BodyTransferTest, ClosesConnectionWhenClientKeepsSendingAfterInvalidRequest) {
   rig.start();
   Client client = rig.client();
