Count a chunked upload's timeout from its arrival, not from when it is read

What callers saw: 504 seconds after their time for a long chunked body that an endpoint read slowly.

Cause: the last read stood for the time until which the client had not sent its last byte. The body may have lain in the kernel since the beginning, and reads went on at the endpoint's pace.

Change: the client has certainly not sent all of a chunked body when the socket was read empty, when more than its kernel can hold (4 MiB, as for bodies with a length) has arrived since, or when nothing had come for a while through an open window and more came later. LastByteEstimator takes the latest of these times. A client that writes faster than the endpoint reads, without a pause, and not yet 4 MiB more than was read, is answered early; one with a length was before, too.

--- a/src/client/client_session.cpp
+++ b/src/client/client_session.cpp
@@ -124,9 +124,10 @@
 
 void ClientSession::update_last_byte_estimate() {
   error_code ignored;
+  const std::size_t unread_bytes = socket_.available(ignored);
   last_byte_.update({.remaining_bytes = reader_.remaining_content_length(),
-                     .unread_bytes = socket_.available(ignored),
-                     .last_read_at = stall_detector_.last_read_at(),
+                     .received_bytes = reader_.bytes_received() + unread_bytes,
+                     .unread_bytes = unread_bytes,
                      .now = now()});
 }
 
--- a/src/client/last_byte_estimator.hpp
+++ b/src/client/last_byte_estimator.hpp
@@ -4,6 +4,7 @@
 #include <cstddef>
 #include <cstdint>
 #include <optional>
+#include <vector>
 
 #include "quota_gateway/time.hpp"
 
@@ -15,11 +16,10 @@
 class LastByteEstimator {
  public:
   struct Observation {
-    // Bytes of the declared length that are not parsed yet. std::nullopt for a chunked body, where the last
-    // read is the only evidence.
+    // Bytes of the declared length that are not parsed yet; std::nullopt for a chunked body.
     std::optional<std::uint64_t> remaining_bytes;
-    std::size_t unread_bytes = 0;  // bytes that wait in the kernel
-    TimePoint last_read_at = 0;
+    std::uint64_t received_bytes = 0;  // on this connection, including those that wait in the kernel
+    std::size_t unread_bytes = 0;      // those that wait in the kernel
     TimePoint now = 0;
   };
 
@@ -29,8 +29,10 @@
   void on_readable(TimePoint now);
   // All data that the kernel had received has been read.
   void on_all_read(TimePoint now);
-  // Sets the estimate to `now` if more of the body remains than the kernels of both ends can hold. For a
-  // chunked body, sets it to the last read.
+  // Sets the estimate to `now` if more of the body remains than the kernels of both ends can hold. Of a
+  // chunked body it is not known how much remains, so the estimate is the latest instant since which more has
+  // arrived than the client's kernel can have held, or at which that held nothing although more arrived
+  // later.
   void update(const Observation& observation);
 
   // Whether reading was suspended after the last time that all data was read.
@@ -39,8 +41,19 @@
   [[nodiscard]] TimePoint last_byte_pending_since() const { return last_byte_pending_since_; }
 
  private:
+  struct Sample {
+    TimePoint at = 0;
+    std::uint64_t received_bytes = 0;
+  };
+
+  void update_chunked(const Observation& observation);
+  void advance_to(TimePoint time);
+
   bool is_read_suspended_ = false;
   TimePoint last_byte_pending_since_ = 0;
+  std::vector<Sample> samples_;     // since reading was suspended, the oldest first
+  std::optional<Sample> previous_;  // the latest observation
+  bool was_quiet_ = false;          // nothing had arrived before it although the window was open
 };
 
 }  // namespace quota_gateway::net
--- a/src/client/request_reader.hpp
+++ b/src/client/request_reader.hpp
@@ -58,6 +58,9 @@
   // Whether the unparsed input exceeds the size limit for the head of a request.
   [[nodiscard]] bool is_input_oversized() const;
 
+  // Returns how many bytes have been received on the connection.
+  [[nodiscard]] std::uint64_t bytes_received() const { return bytes_received_; }
+
   // Begins a request. parse_some() may be called from now until end_request().
   void begin_request();
   void end_request();
--- /dev/null
+++ b/tests/client/last_byte_estimator_test.cpp
@@ -0,0 +1,51 @@
+// When a client had certainly not sent the last byte of a chunked body.
+#include "client/last_byte_estimator.hpp"
+
+#include <gtest/gtest.h>
+
+namespace quota_gateway::net::testing {
+namespace {
+
+constexpr Duration kStep = 10'000;  // us between two observations
+constexpr std::size_t kFullQueue = 1 << 20;
+
+// Observes a chunked body every 10 ms, of which `bytes_per_step` arrive at each step.
+TimePoint estimate_after(LastByteEstimator& estimator, int steps, std::uint64_t bytes_per_step,
+                         std::size_t unread_bytes) {
+  std::uint64_t received = 0;
+  estimator.on_all_read(kStep);
+  estimator.on_read_suspended();
+  for (int i = 1; i <= steps; ++i) {
+    received += bytes_per_step;
+    estimator.update({.received_bytes = received, .unread_bytes = unread_bytes, .now = (i + 1) * kStep});
+  }
+  return estimator.last_byte_pending_since();
+}
+
+TEST(LastByteEstimator, ReadingAChunkedBodyDoesNotProveThatItIsIncomplete) {
+  LastByteEstimator estimator;
+  EXPECT_EQ(estimate_after(estimator, 300, 6'000, kFullQueue), kStep);
+}
+
+TEST(LastByteEstimator, MoreBytesThanKernelsHoldProveThatTheBodyWasIncomplete) {
+  LastByteEstimator estimator;
+  const int steps = 1'000;  // 10 MB in 10 s, of which the client's kernel holds 4 MiB at most
+  const TimePoint estimate = estimate_after(estimator, steps, 10'000, kFullQueue);
+  EXPECT_GT(estimate, (steps - 450) * kStep);
+  EXPECT_LT(estimate, (steps - 400) * kStep);
+}
+
+TEST(LastByteEstimator, BytesAfterAPauseWithAnOpenWindowProveThatTheBodyWasIncomplete) {
+  LastByteEstimator estimator;
+  estimator.on_all_read(kStep);
+  estimator.on_read_suspended();
+  estimator.update({.received_bytes = 1'000, .unread_bytes = 1'000, .now = 2 * kStep});
+  estimator.update({.received_bytes = 1'000, .unread_bytes = 1'000, .now = 3 * kStep});
+  estimator.update({.received_bytes = 2'000, .unread_bytes = 2'000, .now = 4 * kStep});
+  EXPECT_EQ(estimator.last_byte_pending_since(), 3 * kStep);
+  estimator.update({.received_bytes = 2'000, .unread_bytes = 2'000, .now = 900 * kStep});
+  EXPECT_EQ(estimator.last_byte_pending_since(), 3 * kStep);
+}
+
+}  // namespace
+}  // namespace quota_gateway::net::testing
