Remember requests that may not be repeated, also over a hot restart

What was seen: an unrepeatable request ran again when its ID came again after its client had left, after its answer, or at the other process of a hot restart.

Cause: nothing remembered the clients' IDs; each arrival was a request of its own.

A request that comes again is failed with 502; a 429 or 503 would say that it has not run. One that certainly never ran is forgotten and admitted again. The predecessor of a hot restart hands the IDs over as hashes in state.json (requests); files of earlier builds are still read. The history takes a sixteenth of the memory at most and then forgets the oldest.

MemoryTest sent every request with the same ID, which the protocol forbids; its clients now number them.

--- a/include/quota_gateway/events.hpp
+++ b/include/quota_gateway/events.hpp
@@ -74,6 +74,10 @@
   // RequestBodyCompleted follows with the final deadline. Such a body is forwarded as it arrives and not
   // kept, so the request has at most one attempt in flight at a time.
   bool body_pending = false;
+  // The client's own ID, and its idempotency key, if it gave them. A request that may not be repeated is not
+  // executed again when the same ID arrives again.
+  std::string client_request_id;
+  std::string idempotency_key;
 };
 
 // The body of a request that arrived with `body_pending` is complete.
@@ -161,6 +165,7 @@
   // Values that belong to no single customer or endpoint: the pace of counter calls, the start time, the
   // concurrency limit, slow start, the latency estimates and the retry budget.
   Values fleet;
+  std::vector<std::uint64_t> requests;  // hashes of the clients' IDs of requests that may have been executed
 };
 
 // This process is the successor in a hot restart and continues from the predecessor's state.
--- a/include/quota_gateway/settings.hpp
+++ b/include/quota_gateway/settings.hpp
@@ -68,6 +68,7 @@
   Duration response_grace = 0;
   Duration drain_grace = 0;
   std::size_t max_customers = 0;                // whose state is kept at the same time; 0: no limit
+  std::size_t max_remembered_requests = 0;      // that have ended and must not be repeated; 0: no limit
   double slow_start_min_capacity_fraction = 1;  // of the full capacity, at the start
   Duration slow_start_duration = 0;
   double slow_start_overload_factor = 1;  // multiple of the current capacity
--- a/src/decision/admission.cpp
+++ b/src/decision/admission.cpp
@@ -15,6 +15,11 @@
     decide(request);
 }
 
+void Admission::fail_repeated_request(const RequestArrived& event) {
+  dependencies_.rejections.count(RejectionReason::kRepeatedRequest);
+  context_.emit(FailRequest{event.id});
+}
+
 void Admission::reject_excess_customer(const RequestArrived& event) {
   dependencies_.rejections.count(RejectionReason::kCustomerLimit);
   context_.emit(RejectRequest{event.id, context_.settings().tick});
--- a/src/decision/admission.hpp
+++ b/src/decision/admission.hpp
@@ -30,6 +30,9 @@
 
   // Decides about a new request: immediately, or once the first counter total of its customer is known.
   void on_request(const RequestArrived& event, Request& request);
+  // Fails a request that must not be executed again. It is not rejected, which would tell the client that it
+  // has had no effect.
+  void fail_repeated_request(const RequestArrived& event);
   // Rejects a request whose customer is one too many to keep its state.
   void reject_excess_customer(const RequestArrived& event);
   // Decides about the requests that were waiting for the total in this reply.
--- a/src/decision/decision_engine.cpp
+++ b/src/decision/decision_engine.cpp
@@ -25,6 +25,7 @@
 #include "decision/rejection_log.hpp"
 #include "decision/request_completion.hpp"
 #include "decision/request_factory.hpp"
+#include "decision/request_history.hpp"
 #include "decision/request_state.hpp"
 #include "decision/retry_budget.hpp"
 #include "decision/retry_handler.hpp"
@@ -102,8 +103,9 @@
   decision::RetryBudget retry_budget_;
   decision::RateLimitedLog log_{context_};
   decision::RejectionLog rejections_{context_};
-  decision::RequestTable requests_{context_};
-  decision::RequestFactory request_factory_{context_, catalog_, slices_, latencies_, requests_};
+  decision::RequestHistory history_{context_};
+  decision::RequestTable requests_{context_, history_};
+  decision::RequestFactory request_factory_{context_, catalog_, slices_, latencies_, requests_, history_};
   decision::AttemptDispatcher dispatcher_{context_, requests_, endpoints_, latencies_, retry_budget_};
   decision::RequestCompletion completion_{context_, latencies_, rejections_};
   decision::AdmissionQueue queue_{context_, requests_, dispatcher_, completion_, log_};
@@ -175,6 +177,8 @@
 }
 
 void DecisionEngine::Impl::on_event(const RequestArrived& event) {
+  if (!history_.is_admissible(event, catalog_.request_class(event.request_class)))
+    return admission_.fail_repeated_request(event);
   if (decision::Request* request = request_factory_.create(event))
     admission_.on_request(event, *request);
   else
@@ -232,6 +236,7 @@
     if (plan != nullptr) slices_.restore_customer(name, *plan, values);
   }
   for (const auto& [name, values] : event.state.endpoints) endpoints_.restore_endpoint(name, values);
+  history_.restore(event.state.requests);
   decision::deserialize_fields(*this, event.state.fleet);  // ignores the state of another build
 }
 
@@ -241,6 +246,7 @@
   slices_.save_state(state);
   endpoints_.save_state(state);
   state.fleet = decision::serialize_fields(*this);
+  state.requests = history_.save();
   // This process will still send the requests in its queue, so their units are deducted from the hard limit
   // tokens that the successor receives.
   for (const decision::Request* request : queue_.unsent_requests())
--- a/src/decision/rejection_log.cpp
+++ b/src/decision/rejection_log.cpp
@@ -19,6 +19,8 @@
       return "no endpoint capacity";
     case RejectionReason::kAttemptsExhausted:
       return "attempts exhausted";
+    case RejectionReason::kRepeatedRequest:
+      return "repeated request";
     case RejectionReason::kCustomerLimit:
       return "customer limit";
   }
--- a/src/decision/rejection_log.hpp
+++ b/src/decision/rejection_log.hpp
@@ -14,6 +14,7 @@
   kHardLimit,          // beyond the hard limit, which also applies to excess requests
   kNoCapacity,         // no endpoint had capacity in time
   kAttemptsExhausted,  // sent, but no endpoint responded
+  kRepeatedRequest,    // its ID has been seen before, and it may not be repeated
   kCustomerLimit       // the state of too many customers is kept already
 };
 
--- a/src/decision/request_factory.cpp
+++ b/src/decision/request_factory.cpp
@@ -5,8 +5,13 @@
 namespace quota_gateway::decision {
 
 RequestFactory::RequestFactory(DecisionContext& context, const ServiceCatalog& catalog, QuotaSlices& slices,
-                               LatencyModel& latencies, RequestTable& requests)
-    : context_(context), catalog_(catalog), slices_(slices), latencies_(latencies), requests_(requests) {}
+                               LatencyModel& latencies, RequestTable& requests, RequestHistory& history)
+    : context_(context),
+      catalog_(catalog),
+      slices_(slices),
+      latencies_(latencies),
+      requests_(requests),
+      history_(history) {}
 
 Request* RequestFactory::create(const RequestArrived& event) {
   const ClassSettings& request_class = catalog_.request_class(event.request_class);
@@ -19,6 +24,7 @@
   slices_.record_demand(context_.now(), *customer, quota_units);
 
   Request& request = requests_.find_or_create(event.id);
+  request.history_key = history_.on_started(event, request_class);
   request.request_class = &request_class;
   request.customer = customer;
   ++customer->requests_in_progress;
--- a/src/decision/request_factory.hpp
+++ b/src/decision/request_factory.hpp
@@ -14,7 +14,7 @@
 class RequestFactory {
  public:
   RequestFactory(DecisionContext& context, const ServiceCatalog& catalog, QuotaSlices& slices,
-                 LatencyModel& latencies, RequestTable& requests);
+                 LatencyModel& latencies, RequestTable& requests, RequestHistory& history);
 
   // Returns null if there are too many customers to keep the state of another one.
   Request* create(const RequestArrived& event);
@@ -25,6 +25,7 @@
   QuotaSlices& slices_;
   LatencyModel& latencies_;
   RequestTable& requests_;
+  RequestHistory& history_;
 };
 
 }  // namespace quota_gateway::decision
--- a/src/decision/request_state.cpp
+++ b/src/decision/request_state.cpp
@@ -10,6 +10,11 @@
   return std::min(client_deadline, now + request_class.latency_objective);
 }
 
+bool Request::may_have_executed() const {
+  return std::any_of(attempts.begin(), attempts.end(),
+                     [](const Attempt& attempt) { return attempt.may_have_executed; });
+}
+
 Request& RequestTable::find_or_create(const std::string& id) {
   Request& request = requests_[id];
   request.id = id;
@@ -24,6 +29,7 @@
 void RequestTable::erase_if_complete(const Request& request) {
   if (!request.is_finished() || request.attempts_in_flight > 0) return;
   --request.customer->requests_in_progress;
+  history_.on_ended(request.history_key, request.may_have_executed());
   requests_.erase(requests_.find(request.id));
 }
 
--- a/src/decision/request_state.hpp
+++ b/src/decision/request_state.hpp
@@ -10,6 +10,7 @@
 #include "decision/decision_context.hpp"
 #include "decision/endpoints/endpoint_pool.hpp"
 #include "decision/quota/quota_slices.hpp"
+#include "decision/request_history.hpp"
 #include "quota_gateway/settings.hpp"
 #include "quota_gateway/time.hpp"
 
@@ -36,6 +37,7 @@
 // A client's request from its arrival until its last attempt has ended.
 struct Request {
   std::string id;
+  ClientRequestKey history_key = 0;
   const ClassSettings* request_class = nullptr;
   CustomerQuota* customer = nullptr;
   double units = 1;
@@ -52,6 +54,8 @@
   int attempts_in_flight = 0;
   std::vector<Attempt> attempts;
 
+  // Returns whether any attempt may have executed the request.
+  [[nodiscard]] bool may_have_executed() const;
   [[nodiscard]] bool is_finished() const { return state == RequestState::kFinished; }
 };
 
@@ -77,7 +81,7 @@
 // Owns the requests and their timers. References to a request stay valid until it is erased.
 class RequestTable {
  public:
-  explicit RequestTable(DecisionContext& context) : context_(context) {}
+  RequestTable(DecisionContext& context, RequestHistory& history) : context_(context), history_(history) {}
 
   // Returns the request with this ID, which is created if it is not in the table.
   Request& find_or_create(const std::string& id);
@@ -93,6 +97,7 @@
 
  private:
   DecisionContext& context_;
+  RequestHistory& history_;
   std::unordered_map<std::string, Request> requests_;
   std::unordered_map<std::int64_t, RequestTimer> timers_;
   std::int64_t last_token_ = kResubscribeTimer;
--- a/src/decision/retry_policy.cpp
+++ b/src/decision/retry_policy.cpp
@@ -67,8 +67,7 @@
   if (request_class.idempotency == Idempotency::kIdempotent) return true;
   if (request_class.idempotency == Idempotency::kByKey && request_class.dedup_scope == DedupScope::kAll)
     return true;
-  return std::none_of(request.attempts.begin(), request.attempts.end(),
-                      [](const Attempt& attempt) { return attempt.may_have_executed; });
+  return !request.may_have_executed();
 }
 
 }  // namespace quota_gateway::decision
--- a/src/restart/state_file.cpp
+++ b/src/restart/state_file.cpp
@@ -52,6 +52,8 @@
         .customers = stored.at("customers").get<decltype(HotRestartState::customers)>(),
         .endpoints = stored.at("servers").get<decltype(HotRestartState::endpoints)>(),
         .fleet = stored.at("fleet").get<HotRestartState::Values>(),
+        // Earlier builds do not store them.
+        .requests = stored.value("requests", decltype(HotRestartState::requests){}),
     };
   } catch (const json::exception&) {
     return std::nullopt;
@@ -62,7 +64,8 @@
   return write_json(state_path_, {{"for", recipient},
                                   {"customers", state.customers},
                                   {"servers", state.endpoints},
-                                  {"fleet", state.fleet}});
+                                  {"fleet", state.fleet},
+                                  {"requests", state.requests}});
 }
 
 void StateFiles::remove_state() const { ::unlink(state_path_.c_str()); }
--- a/src/runtime/coordinator.cpp
+++ b/src/runtime/coordinator.cpp
@@ -21,6 +21,7 @@
 Settings derive_settings(const Configuration& configuration) {
   Settings settings = configuration.settings;
   settings.max_customers = max_customers(configuration);
+  settings.max_remembered_requests = max_remembered_requests(configuration);
   return settings;
 }
 
--- a/src/runtime/request_forwarder.cpp
+++ b/src/runtime/request_forwarder.cpp
@@ -55,6 +55,8 @@
     set_deadline(request, client_request.received_at);
   }
   RequestArrived arrived = std::move(client_request.arrived);
+  arrived.client_request_id = request.outgoing.trace_id;
+  arrived.idempotency_key = request.outgoing.idempotency_key;
   arrived.id = std::to_string(request.id);  // A client may reuse its own request ID.
   arrived.body_pending = body_pending;
   arrived.deadline = request.deadline;
--- a/src/runtime/resource_limits.cpp
+++ b/src/runtime/resource_limits.cpp
@@ -14,8 +14,10 @@
 constexpr std::size_t kBytesPerClient = 64 << 10;  // at most, while buffer memory is short
 constexpr std::size_t kBodyBufferDivisor = 6;  // of the memory; the socket buffers need the same amount again
 
-constexpr std::size_t kCustomerMemoryDivisor = 10;  // of the memory
-constexpr std::size_t kBytesPerCustomer = 512;      // at most, including the allocator's own
+constexpr std::size_t kCustomerMemoryDivisor = 10;        // of the memory
+constexpr std::size_t kRequestHistoryMemoryDivisor = 16;  // of the memory
+constexpr std::size_t kBytesPerRememberedRequest = 128;   // including the allocator's own
+constexpr std::size_t kBytesPerCustomer = 512;            // at most, including the allocator's own
 
 }  // namespace
 
@@ -38,6 +40,10 @@
   return memory_bytes(configuration) / kBodyBufferDivisor;
 }
 
+std::size_t max_remembered_requests(const Configuration& configuration) {
+  return memory_bytes(configuration) / kRequestHistoryMemoryDivisor / kBytesPerRememberedRequest;
+}
+
 std::size_t max_customers(const Configuration& configuration) {
   return memory_bytes(configuration) / kCustomerMemoryDivisor / kBytesPerCustomer;
 }
--- a/src/runtime/resource_limits.hpp
+++ b/src/runtime/resource_limits.hpp
@@ -16,6 +16,8 @@
 // Returns the memory budget in bytes for all request and response bodies that are buffered at the same time.
 [[nodiscard]] std::size_t body_buffer_bytes(const Configuration& configuration);
 
+// Returns the maximum number of ended requests that are remembered because they must not be repeated.
+[[nodiscard]] std::size_t max_remembered_requests(const Configuration& configuration);
 // Returns the maximum number of customers whose quota state is kept at the same time.
 [[nodiscard]] std::size_t max_customers(const Configuration& configuration);
 
--- a/tests/runtime/memory_test.cpp
+++ b/tests/runtime/memory_test.cpp
@@ -3,6 +3,7 @@
 #include <gtest/gtest.h>
 
 #include <algorithm>
+#include <array>
 #include <cstdio>
 #include <deque>
 
@@ -23,6 +24,8 @@
 constexpr int kIdleMs = 2'500;
 constexpr std::size_t kPieceSize = 8'000;  // of a request body
 constexpr int kPieceIntervalMs = 20;
+constexpr std::string_view kIdPrefix = "X-Trace-Id: ";
+constexpr std::string_view kIdPlaceholder = "00000000";
 
 // A client that writes each request in pieces, and reads its response. Repeats a request that is rejected,
 // as the gateway may do when its endpoint has no capacity.
@@ -34,6 +37,11 @@
   }
   void start() {
     written_size_ = 0;
+    // Each request has an ID of its own.
+    static int last_id = 0;
+    std::array<char, kIdPlaceholder.size() + 1> id{};
+    std::snprintf(id.data(), id.size(), "%08d", ++last_id);
+    request_.replace(request_.find(kIdPrefix) + kIdPrefix.size(), kIdPlaceholder.size(), id.data());
     write_piece();
   }
   int complete_responses = 0;
@@ -72,7 +80,7 @@
   void fail() { has_failed = true; }
 
   const tcp::endpoint gateway_;
-  const std::string request_;
+  std::string request_;
   std::size_t written_size_ = 0;
   asio::steady_timer timer_;
   tcp::socket socket_;
@@ -118,7 +126,7 @@
   Process gateway(configuration(port, endpoint, discovery));
   EXPECT_NE(gateway.log_until("ready").find("ready"), std::string::npos);
   const std::string request =
-      "POST /intro-request/00000000b4d65521 HTTP/1.1\r\nHost: origin.svc\r\nX-Trace-Id: t\r\n"
+      "POST /intro-request/00000000b4d65521 HTTP/1.1\r\nHost: origin.svc\r\nX-Trace-Id: 00000000\r\n"
       "Plan: plan-group\r\nX-Expires-In: 20000m\r\nIdempotency-Key: k\r\nContent-Length: " +
       std::to_string(body_size) + "\r\nQuota-Info: units=1,spread=1,first=0\r\n\r\n" +
       std::string(body_size, 'q');
