Add failing test: a request read ahead is forwarded after its client has closed

What was seen: a client closes its connection with much still unread, and one of its requests is sent on afterwards.

Cause: while a response is written, the session reads ahead up to 16 KiB and leaves the rest in the kernel, and with it the end of the connection. The next request is then taken from the read-ahead and forwarded before the socket is read again.

--- a/tests/client/client_disconnect_test.cpp
+++ b/tests/client/client_disconnect_test.cpp
@@ -178,6 +178,30 @@
   expect_only_next_request_forwarded(first_endpoint);
 }
 
+// Guards against a request that is forwarded from the read-ahead although the client has closed the
+// connection behind it, with more data than the gateway had read.
+TEST_P(ClientDisconnectTest, DropsRequestsReadAheadWhenMoreDataAndTheCloseAreUnread) {
+  const std::string long_body(8'000'000, 'r');
+  first_endpoint.on_request = [&](Peer& peer, const HttpRequest&) {
+    const auto response = std::make_shared<std::string>(reply("200 OK", "", long_body));
+    asio::async_write(peer.socket, asio::buffer(*response),
+                      [response, self = peer.shared_from_this()](error_code, std::size_t) {});
+  };
+  rig.add_endpoint(discovered_endpoint("s1", first_endpoint));
+  rig.start();
+  Client client = rig.client();
+  client.send(get_request("first"));
+  ASSERT_TRUE(rig.run_until([&] { return client.socket.available() > 0; }));
+  std::string more;
+  for (int i = 0; i < 500; ++i) more += get_request("more" + std::to_string(i));
+  client.send(more);
+  client.socket.shutdown(tcp::socket::shutdown_send);
+  run_for(rig.io, kDisconnectProcessingTime);
+  client.receive();
+  run_for(rig.io, 50);
+  EXPECT_EQ(first_endpoint.requests.size(), 1u);
+}
+
 TEST_P(ClientDisconnectTest, RespondsToConnectedClientThatExceedsReadAheadLimit) {
   rig.add_endpoint(discovered_endpoint("s1", first_endpoint));
   std::shared_ptr<Peer> pending_peer;
