Do not forward a request whose client has closed behind unread data

What was seen: a request read ahead was forwarded although its client had closed the connection long before.

Cause: the end of the connection lay in the kernel, behind data that the session had not read while a response was written.

Change: before a request is reported, the kernel is asked whether the client has closed (POLLRDHUP), as it is while an upload is not being read. The end cannot be seen while the client's kernel still holds data that ours has no room for.

--- a/src/client/client_session.cpp
+++ b/src/client/client_session.cpp
@@ -205,7 +205,9 @@
   report_request();
 }
 
+// The end of the connection may lie in the kernel, behind data that has not been read.
 void ClientSession::report_request() {
+  if (is_closed_by_peer(socket_)) return close();
   if (context_.memory.is_active(OverloadAction::kRejectRequests)) {
     context_.memory.count(OverloadAction::kRejectRequests);
     context_.callbacks.on_request_rejected(request_->arrived.request_class, kStatusServiceUnavailable);
--- a/tests/runtime/hedging_test.cpp
+++ b/tests/runtime/hedging_test.cpp
@@ -19,7 +19,7 @@
   }
   // Endpoints respond to the usual requests at once, and leave the slow request to the test.
   void handle(Peer& peer, const HttpRequest& request) {
-    if (request["X-Trace-Id"] != "slow") return peer.write(reply("200 OK", "", "usual"));
+    if (!request["X-Trace-Id"].starts_with("slow")) return peer.write(reply("200 OK", "", "usual"));
     slow_requests.push_back(request);
     slow_peers.push_back(peer.shared_from_this());
   }
@@ -28,13 +28,17 @@
     rig.start();
     client.emplace(rig.client());
     for (int i = 0; i < kUsualRequests; ++i) {
-      client->send(post_request("usual"));
-      ASSERT_TRUE(client->receive());
+      client->send(post_request("usual" + std::to_string(i)));
+      const auto response = client->receive();
+      ASSERT_TRUE(response);
+      ASSERT_EQ(response->result_int(), 200u);
     }
   }
   void send_slow_request(const std::string& headers, const std::string& body) {
     auto bytes = std::make_shared<std::string>(
-        "POST /intro-request/00000000b4d65521 HTTP/1.1\r\nHost: origin.svc\r\nX-Trace-Id: slow\r\n"
+        "POST /intro-request/00000000b4d65521 HTTP/1.1\r\nHost: origin.svc\r\nX-Trace-Id: slow" +
+        std::to_string(++last_slow_request) +
+        "\r\n"
         "Plan: plan-group\r\nX-Expires-In: 4000m\r\nIdempotency-Key: k\r\n" +
         headers + "Quota-Info: units=1,spread=3,first=0\r\n\r\n" + body);
     asio::async_write(client->socket, asio::buffer(*bytes), [bytes](error_code, std::size_t) {});
@@ -86,6 +90,7 @@
   GatewayRig rig;
   FakeEndpoint first_endpoint{rig.io};
   FakeEndpoint second_endpoint{rig.io};
+  int last_slow_request = 0;  // each request has an ID of its own
   std::vector<HttpRequest> slow_requests;
   std::vector<std::shared_ptr<Peer>> slow_peers;
   std::optional<Client> client;
