Soak: slow long responses, repeated IDs, crowds and floods at the least memory

The soak plays what this incident showed: long responses that endpoints write slowly, in three framings; unrepeatable requests whose ID comes again after their client has left; in one run of four a crowd of 300 peers that never finish a request or never read a long response; in another a client that asks under ever new names. All runs have 32 MB, and the peak memory is checked.

A flood's form is now named in the name of its test.

--- a/tests/runtime/flood_test.cpp
+++ b/tests/runtime/flood_test.cpp
@@ -38,6 +38,9 @@
   int texts_per_connection;
 };
 
+// Names the form in the name of its test.
+void PrintTo(const FloodForm& form, std::ostream* output) { *output << form.name; }
+
 std::string text_of_small_chunks(int number) {
   if (number % 1'000 != 0) return "1\r\nx\r\n";
   return "0\r\n\r\nPOST /intro-request/00000000b4d65521 HTTP/1.1\r\nX-Trace-Id: c" + std::to_string(number) +
--- a/tests/soak/soak_test.cpp
+++ b/tests/soak/soak_test.cpp
@@ -1,7 +1,9 @@
 // Soak test of the program under all faults at once: failing system calls, a stepped wall clock, endpoints
-// that hang, reset, reject and drain, clients that disconnect or stall, signals in quick succession, and
-// SIGKILL as early as it can follow SIGTERM. Faults and load are random; QUOTA_GATEWAY_SOAK="FIRST COUNT"
-// sets the seeds.
+// that hang, reset, reject and drain, or write long responses slowly, clients that disconnect or stall, or
+// send the ID of an unrepeatable request again, signals in quick succession, and SIGKILL as early as it can
+// follow SIGTERM. Some runs have a crowd of peers that never finish a request or never read a long response,
+// or a client that floods under ever new names, at the smallest memory limit. Faults and load are random;
+// QUOTA_GATEWAY_SOAK="FIRST COUNT" sets the seeds.
 #include <random>
 #include <set>
 #include <sstream>
@@ -23,8 +25,23 @@
 constexpr milliseconds kEarliestKill{3700};     // from SIGTERM to SIGKILL
 constexpr milliseconds kServiceTime{3500};      // from the start of the load to SIGTERM
 constexpr milliseconds kLagInterval{5};
+constexpr milliseconds kLongResponseTime{4000};  // from the client timeout, for a response of kLongBodySize
+constexpr milliseconds kGiveUpMargin{300};  // a response that begins later before its end may be given up
+constexpr std::size_t kLongBodySize = 150'000;
+constexpr std::size_t kLongBodyPiece = 3'000;
+constexpr milliseconds kLongBodyInterval{30};
+constexpr std::size_t kUnreadBodySize = 400'000;
+constexpr int kCrowdSize = 300;
+constexpr int kFloodBatch = 40;
+constexpr milliseconds kFloodInterval{10};
+constexpr long kMemoryLimitMb = 32;  // the smallest of a gateway
+
+enum class RequestKind { kRead, kLongRead, kBooking };
 
 struct SentRequest {
+  RequestKind kind = RequestKind::kRead;
+  int executions = 0;                               // at most; of a booking
+  std::optional<SteadyClock::time_point> begun_at;  // its long response, by an endpoint
   SteadyClock::time_point sent_at;
   milliseconds timeout{0};
   std::optional<SteadyClock::time_point> disconnected_at;  // by the client
@@ -32,7 +49,8 @@
 
 class Soak {
  public:
-  explicit Soak(unsigned seed) : random_(seed), few_sockets_(seed % 3 == 0) {
+  explicit Soak(unsigned seed)
+      : random_(seed), few_sockets_(seed % 3 == 0), has_crowd_(seed % 4 == 1), has_flood_(seed % 4 == 2) {
     for (int i = 0; i < 5; ++i) {
       endpoints_.push_back(std::make_unique<FakeEndpoint>(io_));
       endpoints_.back()->on_request = [this, i](Peer& peer, const HttpRequest& request) {
@@ -52,6 +70,8 @@
     measure_lag();
     for (int i = 0; i < 12; ++i) start_client();
     for (int i = 0; few_sockets_ && i < 150; ++i) idle_connections_.push_back(connect());
+    if (has_crowd_) run_after(milliseconds(random_int(100, 2'000)), [this] { send_crowd(); });
+    if (has_flood_) run_after(milliseconds(100), [this] { flood(connect()); });
     for (const int at_ms : {700, 720, 1500})
       run_after(milliseconds(at_ms), [this, at_ms] { reconfigure(at_ms); });
     run_after(milliseconds(1800), [this] { drain(1); });
@@ -60,8 +80,12 @@
     run_after(kServiceTime, [this] { terminate(); });
     const auto end = SteadyClock::now() + kServiceTime + kEarliestKill;
     run_until(io_, [&] { return SteadyClock::now() >= end; });
+    const long peak_kilobytes = process_->peak_resident_kilobytes();
     process_->kill();
     EXPECT_GT(responses_, 50);
+#if !defined(__SANITIZE_ADDRESS__)
+    EXPECT_LT(peak_kilobytes, kMemoryLimitMb * 1024);
+#endif
     std::string all_violations;
     for (const std::string& violation : violations_) all_violations += violation + "\n";
     EXPECT_EQ(all_violations, "") << "faults " << faults_;
@@ -105,6 +129,12 @@
     auto json = nlohmann::json::parse(configuration_json(port_, *endpoints_[0], discoveries_[discovery]));
     json["known"] = nlohmann::json::parse(update_json(41, true, members));
     json["limits"]["sockets"] = few_sockets_ ? 128 : 1024;
+    json["limits"]["memory_mb"] = kMemoryLimitMb;
+    json["settings"]["Classes"].push_back({{"Name", "booking"},
+                                           {"Repeat", "unsafe"},
+                                           {"ObjectiveUs", 3'000'000},
+                                           {"GiveUpUs", 3'000'000},
+                                           {"Importance", 1.0}});
     json["settings"]["TiersOfService"][0]["QuotaRate"] = json["settings"]["TiersOfService"][0]["Depth"] = 1e6;
     json["settings"]["Obligations"]["StopSendingWithinUs"] = 250'000;
     json["settings"]["Limits"]["MayCancel"] = true;
@@ -139,10 +169,77 @@
     process_->terminate();
   }
 
+  void send_crowd() {
+    for (int i = 0; i < kCrowdSize; ++i) {
+      const ConnectionPtr peer = connect();
+      if (!peer) continue;
+      error_code ignored;
+      peer->socket.non_blocking(true, ignored);
+      std::string text = "GET /profile-read/00000000b4d65521 HTTP/1.1\r\n";
+      for (int k = 0; k < 1500 + i; ++k) text += "ab:\r\n";
+      if (i % 3 == 1)
+        text = "POST /booking/00000000b4d65521 HTTP/1.1\r\nX-Trace-Id: crowd" + std::to_string(i) +
+               "\r\nContent-Length: 60000\r\n\r\n" + std::string(std::size_t(200 * i), 'x');
+      if (i % 3 == 2) {
+        text = get_request("unread" + std::to_string(i));
+        requests_["unread" + std::to_string(i)] = {.sent_at = SteadyClock::now(),
+                                                   .timeout = kServiceTime * 2};
+      }
+      peer->socket.write_some(asio::buffer(text), ignored);
+      idle_connections_.push_back(peer);
+    }
+  }
+  void flood(const ConnectionPtr& connection) {
+    if (terminated_ || !connection) return;
+    error_code ec;
+    connection->socket.non_blocking(true, ec);
+    std::string text;
+    for (int i = 0; i < kFloodBatch; ++i) {
+      std::string request = get_request("flood");
+      const std::string number = std::to_string(++last_flood_customer_);
+      request.replace(request.find("b4d65521") + 8 - number.size(), number.size(), number);
+      text += i % 4 == 0 ? "GET /_health HTTP/1.1\r\n\r\n" : request;
+    }
+    requests_["flood"] = {.sent_at = SteadyClock::now(), .timeout = kServiceTime * 2};
+    connection->socket.write_some(asio::buffer(text), ec);
+    const bool is_broken = ec && ec != asio::error::would_block;
+    std::array<char, 1 << 16> answers{};
+    connection->socket.read_some(asio::buffer(answers), ec);
+    const bool is_closed = ec && ec != asio::error::would_block;
+    run_after(kFloodInterval,
+              [this, next = is_broken || is_closed ? connect() : connection] { flood(next); });
+  }
+
+  // Writes a long response in pieces: with its length, in chunks, or ended by the close, by the ID's number.
+  void write_long_response(const std::shared_ptr<Peer>& peer, int form, std::size_t offset) {
+    if (peer->closed) return;
+    const std::string piece(std::min(kLongBodyPiece, kLongBodySize - offset), 'r');
+    if (piece.empty()) {
+      if (form == 1) peer->write("0\r\n\r\n");
+      if (form == 2) peer->close();
+      return;
+    }
+    peer->write(form == 1 ? FakeDiscovery::chunk(piece) : piece);
+    run_after(kLongBodyInterval,
+              [this, peer, form, next = offset + piece.size()] { write_long_response(peer, form, next); });
+  }
+  void start_long_response(Peer& peer, const std::string& id) {
+    const int form = std::stoi(id.substr(1)) % 3;
+    const std::string length_header = "Content-Length: " + std::to_string(kLongBodySize) + "\r\n";
+    const std::string framing_header = form == 0   ? length_header
+                                       : form == 1 ? "Transfer-Encoding: chunked\r\n"
+                                                   : "";
+    peer.write("HTTP/1.1 200 OK\r\n" + framing_header + "\r\n");
+    requests_[id].begun_at = SteadyClock::now();
+    run_after(milliseconds(random_int(0, 300)),
+              [this, form, self = peer.shared_from_this()] { write_long_response(self, form, 0); });
+  }
+
   void serve(int endpoint, Peer& peer, const HttpRequest& request) {
     const auto now = SteadyClock::now();
     const std::string id(request["X-Trace-Id"]);
-    const SentRequest& sent = requests_[id];
+    if (id.starts_with("unread")) return write_unread_response(peer);
+    SentRequest& sent = requests_[id];
     const milliseconds time_left(std::stoll(std::string(request["X-Expires-In"])) / 1000);
     expect_within(now - sent.sent_at + time_left, sent.timeout + kMaxWriteDelay,
                   "X-Expires-In exceeds the time left " + id);
@@ -155,12 +252,23 @@
       if (!self->closed) self->write(text);
     };
     const int behavior = random_int(0, 99);
+    const bool is_turned_away = behavior >= 7 && behavior < 12;
+    if (sent.kind == RequestKind::kBooking && !is_turned_away && ++sent.executions > 1)
+      violations_.insert("unrepeatable request executed again " + id);
     if (behavior < 4 || (terminated_ && behavior < 30)) return;  // hangs
     if (behavior < 7) return peer.reset();
-    if (behavior < 12) return respond(reply("503 No", "X-Never-Ran: 1\r\n"));
+    if (is_turned_away) return respond(reply("503 No", "X-Never-Ran: 1\r\n"));
+    if (sent.kind == RequestKind::kLongRead) return start_long_response(peer, id);
     run_after(milliseconds(random_int(0, 120)), [respond, id] { respond(reply("200 OK", "", id)); });
   }
 
+  void write_unread_response(Peer& peer) {
+    const auto response =
+        std::make_shared<std::string>(reply("200 OK", "", std::string(kUnreadBodySize, 'u')));
+    asio::async_write(peer.socket, asio::buffer(*response),
+                      [response, self = peer.shared_from_this()](error_code, std::size_t) {});
+  }
+
   ConnectionPtr connect() {
     auto connection = std::make_shared<Connection>(io_);
     error_code ec;
@@ -170,58 +278,106 @@
   void start_client() {
     if (const ConnectionPtr connection = connect()) send_request(connection);
   }
+  RequestKind random_kind() {
+    const int choice = random_int(0, 99);
+    if (choice < 8) return RequestKind::kLongRead;
+    return choice < 25 ? RequestKind::kBooking : RequestKind::kRead;
+  }
+  static std::string request_text(const std::string& id, const SentRequest& sent) {
+    const std::string expires_in = std::to_string(sent.timeout.count()) + "m";
+    if (sent.kind == RequestKind::kBooking)
+      return "POST /booking/00000000b4d65521 HTTP/1.1\r\nHost: origin.svc\r\nX-Trace-Id: " + id +
+             "\r\nPlan: plan-group\r\nX-Expires-In: " + expires_in +
+             "\r\nContent-Length: 5\r\nQuota-Info: units=1,spread=3,first=0\r\n\r\nhello";
+    std::string text = get_request(id);
+    return text.replace(text.find("4000m"), 5, expires_in);
+  }
   void send_request(const ConnectionPtr& connection) {
     const std::string id = "r" + std::to_string(++last_id_);
     SentRequest& sent = requests_[id];
+    sent.kind = random_kind();
     sent.timeout = milliseconds(random_int(2, 20) * 100);
+    send(connection, id);
+  }
+  // Sends an unrepeatable request again after its client has left.
+  void send_again(const std::string& id) {
+    requests_[id].disconnected_at.reset();
+    if (const ConnectionPtr connection = connect()) send(connection, id);
+  }
+  void send(const ConnectionPtr& connection, const std::string& id) {
+    SentRequest& sent = requests_[id];
     sent.sent_at = SteadyClock::now();
-    std::string text = get_request(id);
-    text.replace(text.find("4000m"), 5, std::to_string(sent.timeout.count()) + "m");
+    std::string text = request_text(id, sent);
+    const bool is_first_time = sent.executions == 0;
     const int behavior = random_int(0, 99);
-    const bool stalls = behavior < 4, disconnects = !stalls && behavior < 12;
+    const bool stalls = is_first_time && behavior < 4;
+    const bool disconnects = is_first_time && !stalls && behavior < 12;
     if (stalls) text.resize(text.size() / 2);
     error_code ignored;
     asio::write(connection->socket, asio::buffer(text), ignored);
     ++connection->requests;
     const auto finished = std::make_shared<bool>(false);
     if (disconnects)
-      run_after(milliseconds(random_int(0, 80)), [this, connection, id, finished] {
-        if (std::exchange(*finished, true)) return;
-        requests_[id].disconnected_at = SteadyClock::now();
-        error_code ec;
-        connection->socket.close(ec);
-        start_client();
-      });
+      run_after(milliseconds(random_int(0, 80)),
+                [this, connection, id, finished] { disconnect(connection, id, finished); });
+    const bool is_long = sent.kind == RequestKind::kLongRead;
     if (!stalls)
-      run_after(sent.timeout + kMaxResponseDelay, [this, finished, id] {
+      run_after(sent.timeout + (is_long ? kLongResponseTime : kMaxResponseDelay), [this, finished, id] {
         if (!*finished) violations_.insert("no response within the time limit " + id);
       });
     connection->response = {};
-    http::async_read(
-        connection->socket, connection->buffer, connection->response,
-        [this, connection, id, stalls, finished](error_code ec, std::size_t) {
-          if (std::exchange(*finished, true)) return;
-          const auto elapsed = SteadyClock::now() - requests_[id].sent_at;
-          if (stalls) {
-            expect_within(elapsed, kStallTimeout, "stalled client not closed " + id);
-            return start_client();
-          }
-          // The gateway may close a reused connection while the next request is on its way; a client
-          // retries such a request once.
-          const bool may_be_closed_unread = few_sockets_ && connection->requests == 1;
-          if (ec && connection->requests == 1 && !may_be_closed_unread)
-            violations_.insert("connection failed before the response " + id + " " + ec.message());
-          if (!ec) ++responses_;
-          const bool keep_alive = !ec && connection->response.keep_alive();
-          run_after(milliseconds(random_int(0, 60)), [this, connection, keep_alive] {
-            keep_alive ? send_request(connection) : start_client();
-          });
-        });
+    http::async_read(connection->socket, connection->buffer, connection->response,
+                     [this, connection, id, stalls, finished](error_code ec, std::size_t) {
+                       if (std::exchange(*finished, true)) return;
+                       on_response(connection, id, stalls, ec);
+                     });
+  }
+  void disconnect(const ConnectionPtr& connection, const std::string& id,
+                  const std::shared_ptr<bool>& finished) {
+    if (std::exchange(*finished, true)) return;
+    requests_[id].disconnected_at = SteadyClock::now();
+    error_code ec;
+    connection->socket.close(ec);
+    start_client();
+    if (requests_[id].kind == RequestKind::kBooking)
+      run_after(milliseconds(random_int(150, 400)), [this, id] { send_again(id); });
+  }
+  void on_response(const ConnectionPtr& connection, const std::string& id, bool stalls, error_code ec) {
+    const SentRequest& sent = requests_[id];
+    if (stalls) {
+      expect_within(SteadyClock::now() - sent.sent_at, kStallTimeout, "stalled client not closed " + id);
+      return start_client();
+    }
+    if (sent.begun_at && !terminated_) check_long_response(*connection, id, ec);
+    // The gateway may close a reused connection while the next request is on its way; a client retries such a
+    // request once.
+    const bool may_be_closed_unread = few_sockets_ && connection->requests == 1;
+    if (ec && connection->requests == 1 && !may_be_closed_unread && !sent.begun_at)
+      violations_.insert("connection failed before the response " + id + " " + ec.message());
+    if (!ec) ++responses_;
+    const bool keep_alive = !ec && connection->response.keep_alive();
+    run_after(milliseconds(random_int(0, 60)),
+              [this, connection, keep_alive] { keep_alive ? send_request(connection) : start_client(); });
+  }
+  // A response that an endpoint has begun in time and goes on writing arrives whole.
+  void check_long_response(const Connection& connection, const std::string& id, error_code ec) {
+    const auto age = SteadyClock::now() - *requests_[id].begun_at;
+    if (age < kGiveUpMargin + 2 * lag_) return;
+    if (ec) {
+      violations_.insert("long response cut off " + id + " " + ec.message());
+    } else if (connection.response.result_int() != 200) {
+      violations_.insert("long response given up " + id + " " +
+                         std::to_string(connection.response.result_int()));
+    } else if (connection.response.body().size() != kLongBodySize) {
+      violations_.insert("long response is not whole " + id);
+    }
   }
 
   asio::io_context io_;
   std::mt19937 random_;
   const bool few_sockets_;  // a low socket limit, which idle connections exhaust
+  const bool has_crowd_;
+  const bool has_flood_;
   std::string faults_;
   const std::uint16_t port_ = free_port(io_);
   std::vector<std::unique_ptr<FakeEndpoint>> endpoints_;
@@ -233,7 +389,7 @@
   std::set<std::string> violations_;
   milliseconds lag_{0};
   bool terminated_ = false, suspended_ = false;
-  int last_id_ = 0, responses_ = 0;
+  int last_id_ = 0, responses_ = 0, last_flood_customer_ = 10'000;
 };
 
 TEST(Soak, NoRequestIsLostLateOrMisroutedUnderAllFaults) {
