Ask for a client's close only while input is held back

The end of a connection can lie behind unread data only while the session reads nothing, which is while a response is written and 16 KiB are read ahead. Otherwise it reads until the kernel has no more and sees the end itself, so a request needs no system call for it.

--- a/src/client/client_session.cpp
+++ b/src/client/client_session.cpp
@@ -38,7 +38,11 @@
 
 void ClientSession::read() {
   if (state_ == State::kAwaitingResponse && upload_.is_full()) return schedule_suspended_read_check();
-  if (is_read_pending_ || !wants_data()) return;
+  if (is_read_pending_) return;
+  if (!wants_data()) {
+    is_input_held_back_ = true;
+    return;
+  }
   is_read_pending_ = true;
   socket_.async_wait(tcp::socket::wait_read,
                      [this, self = shared_from_this()](error_code ec) { on_readable(ec); });
@@ -58,6 +62,7 @@
     }
     if (ec == asio::error::would_block) {
       last_byte_.on_all_read(now());
+      is_input_held_back_ = false;
       break;
     }
     if (ec) return close(CloseReason::kClosedByClient);
@@ -175,9 +180,9 @@
   report_request();
 }
 
-// The end of the connection may lie in the kernel, behind data that has not been read.
 void ClientSession::report_request() {
-  if (is_closed_by_peer(socket_)) return close(CloseReason::kClosedByClient);
+  // The end of the connection may lie behind the data that has not been read.
+  if (is_input_held_back_ && is_closed_by_peer(socket_)) return close(CloseReason::kClosedByClient);
   if (context_.memory.is_active(OverloadAction::kRejectRequests)) {
     context_.memory.count(OverloadAction::kRejectRequests);
     context_.callbacks.on_request_rejected(request_->arrived.request_class, kStatusServiceUnavailable);
--- a/src/client/client_session.hpp
+++ b/src/client/client_session.hpp
@@ -173,6 +173,7 @@
   std::optional<ClientRequest> request_;  // parsed but not reported yet
   bool has_read_ = false;
   bool is_read_pending_ = false;
+  bool is_input_held_back_ = false;  // the kernel may hold data that the session does not want yet
   bool is_suspended_read_check_scheduled_ = false;
   bool is_discarding_ = false;       // all further input is ignored and the next response is the last one
   std::size_t discarded_bytes_ = 0;  // since is_discarding_ was set or closing began
--- a/tests/support/process.hpp
+++ b/tests/support/process.hpp
@@ -142,6 +142,13 @@
   return tcp::acceptor(io, {asio::ip::address_v4::loopback(), 0}).local_endpoint().port();
 }
 
+// Returns the settings of a class of keyed requests, named as in post_request().
+inline nlohmann::json keyed_class_json() {
+  return {{"Name", "intro-request"}, {"Repeat", "keyed"},        {"DedupScope", "all"},
+          {"WindowUs", 10'000'000},  {"ObjectiveUs", 3'000'000}, {"GiveUpUs", 30'000'000},
+          {"Importance", 1.0}};
+}
+
 // Returns a configuration with `endpoint` as its only endpoint; `more` adds top-level keys, each followed by
 // a comma.
 inline std::string configuration_json(std::uint16_t port, const LoopbackServer& endpoint,
