Count an emptied socket as proof of an incomplete body only when it stays empty

What was seen: SlowlyReadUploadTest passed in the release build and failed in the sanitized one (504 after 7.4 s of 3.5 s, twice); in the sanitized program the allocator was reported on freeing what std::stable_sort had fetched.

Causes: right after the window opens again, a socket can be empty for a moment although the client's kernel holds more, so reading it empty moved the upload's timeout. The nothrow form of operator new was the sanitizer's own, and not ours.

Change: after a suspension, an empty socket counts once it was seen empty again at least 5 ms after it was read empty. heap_meter replaces the nothrow and array forms, too.

--- a/src/client/client_session.cpp
+++ b/src/client/client_session.cpp
@@ -37,7 +37,7 @@
 }
 
 void ClientSession::read() {
-  if (state_ == State::kAwaitingResponse && upload_.is_full()) return schedule_suspended_read_check();
+  if (state_ == State::kAwaitingResponse && upload_.is_full()) return suspend_reading();
   if (is_read_pending_) return;
   if (!wants_data()) {
     is_input_held_back_ = true;
@@ -63,6 +63,7 @@
     if (ec == asio::error::would_block) {
       last_byte_.on_all_read(now());
       is_input_held_back_ = false;
+      if (last_byte_.is_read_suspended()) schedule_read_check();
       break;
     }
     if (ec) return close(CloseReason::kClosedByClient);
--- a/src/client/client_session.hpp
+++ b/src/client/client_session.hpp
@@ -125,8 +125,9 @@
   void buffer_data(std::size_t size, TimePoint received_at);
   [[nodiscard]] TimePoint data_received_at(TimePoint read_at);
   [[nodiscard]] bool wants_data() const;
-  void schedule_suspended_read_check();
-  void check_suspended_read();
+  void suspend_reading();
+  void schedule_read_check();
+  void check_reading();
   void update_last_byte_estimate();
 
   // Requests.
@@ -174,7 +175,7 @@
   bool has_read_ = false;
   bool is_read_pending_ = false;
   bool is_input_held_back_ = false;  // the kernel may hold data that the session does not want yet
-  bool is_suspended_read_check_scheduled_ = false;
+  bool is_read_check_scheduled_ = false;
   bool is_discarding_ = false;       // all further input is ignored and the next response is the last one
   std::size_t discarded_bytes_ = 0;  // since is_discarding_ was set or closing began
 
--- a/src/client/client_session_upload.cpp
+++ b/src/client/client_session_upload.cpp
@@ -10,8 +10,8 @@
 
 using boost::system::error_code;
 
-// Interval between checks of a client whose upload is not being read.
-constexpr Duration kSuspendedReadCheckInterval = 10'000;  // us
+// Interval between checks of a client whose upload is not being read, or has been read to its end so far.
+constexpr Duration kReadCheckInterval = 10'000;  // us
 
 }  // namespace
 
@@ -45,16 +45,20 @@
 
 // The socket is not read while the upload buffer is full. The last byte, from which the client's timeout
 // counts, or the end of the connection may be waiting there, so the kernel is queried for both.
-void ClientSession::schedule_suspended_read_check() {
+void ClientSession::suspend_reading() {
   last_byte_.on_read_suspended();
-  if (is_suspended_read_check_scheduled_) return;
-  is_suspended_read_check_scheduled_ = true;
-  context_.timers.schedule_after(kSuspendedReadCheckInterval,
-                                 [this, self = shared_from_this()] { check_suspended_read(); });
+  schedule_read_check();
 }
 
-void ClientSession::check_suspended_read() {
-  is_suspended_read_check_scheduled_ = false;
+void ClientSession::schedule_read_check() {
+  if (is_read_check_scheduled_) return;
+  is_read_check_scheduled_ = true;
+  context_.timers.schedule_after(kReadCheckInterval, [this, self = shared_from_this()] { check_reading(); });
+}
+
+void ClientSession::check_reading() {
+  is_read_check_scheduled_ = false;
+  if (state_ != State::kClosed && !has_unread_data(socket_)) last_byte_.on_nothing_unread(now());
   if (state_ != State::kAwaitingResponse || !upload_.is_full()) return read();
   if (is_closed_by_peer(socket_)) return close(CloseReason::kClosedByClient);
   update_last_byte_estimate();
--- a/src/client/last_byte_estimator.cpp
+++ b/src/client/last_byte_estimator.cpp
@@ -10,16 +10,26 @@
 constexpr std::size_t kMaxClientSendBuffer = 4 << 20;  // bytes
 // While less than this is unread, the receive window is open, and the client's kernel holds nothing back.
 constexpr std::size_t kOpenWindowUnreadBytes = 32 << 10;
+// What the client's kernel holds back while the window is closed arrives within this time after it has
+// opened.
+constexpr Duration kMinQuietTime = 5'000;  // us
 // Distance between two samples of the bytes received.
 constexpr std::uint64_t kSampleBytes = 64 << 10;
 
 }  // namespace
 
 void LastByteEstimator::on_readable(TimePoint now) {
+  all_read_at_.reset();
   if (!is_read_suspended_) last_byte_pending_since_ = now;
 }
 
 void LastByteEstimator::on_all_read(TimePoint now) {
+  if (!all_read_at_) all_read_at_ = now;
+  if (!is_read_suspended_) last_byte_pending_since_ = now;
+}
+
+void LastByteEstimator::on_nothing_unread(TimePoint now) {
+  if (!is_read_suspended_ || !all_read_at_ || now - *all_read_at_ < kMinQuietTime) return;
   is_read_suspended_ = false;
   last_byte_pending_since_ = now;
   samples_.clear();
--- a/src/client/last_byte_estimator.hpp
+++ b/src/client/last_byte_estimator.hpp
@@ -24,18 +24,25 @@
   };
 
   // Reading is suspended; from now on data may wait in the kernel.
-  void on_read_suspended() { is_read_suspended_ = true; }
+  void on_read_suspended() {
+    is_read_suspended_ = true;
+    all_read_at_.reset();
+  }
   // The socket became readable.
   void on_readable(TimePoint now);
-  // All data that the kernel had received has been read.
+  // All data that the kernel had received has been read. After a suspension, the client's kernel may hold
+  // more, so this is no evidence by itself.
   void on_all_read(TimePoint now);
+  // The kernel has no data either. That is evidence if all data was read a while ago and nothing has come
+  // since.
+  void on_nothing_unread(TimePoint now);
   // Sets the estimate to `now` if more of the body remains than the kernels of both ends can hold. Of a
   // chunked body it is not known how much remains, so the estimate is the latest instant since which more has
   // arrived than the client's kernel can have held, or at which that held nothing although more arrived
   // later.
   void update(const Observation& observation);
 
-  // Whether reading was suspended after the last time that all data was read.
+  // Whether the client's kernel may hold data back, because reading was suspended.
   [[nodiscard]] bool is_read_suspended() const { return is_read_suspended_; }
   // The estimate. The last byte may have waited in the kernel since this instant.
   [[nodiscard]] TimePoint last_byte_pending_since() const { return last_byte_pending_since_; }
@@ -51,9 +58,10 @@
 
   bool is_read_suspended_ = false;
   TimePoint last_byte_pending_since_ = 0;
-  std::vector<Sample> samples_;     // since reading was suspended, the oldest first
-  std::optional<Sample> previous_;  // the latest observation
-  bool was_quiet_ = false;          // nothing had arrived before it although the window was open
+  std::optional<TimePoint> all_read_at_;  // nothing has arrived since
+  std::vector<Sample> samples_;           // since reading was suspended, the oldest first
+  std::optional<Sample> previous_;        // the latest observation
+  bool was_quiet_ = false;                // nothing had arrived before it although the window was open
 };
 
 }  // namespace quota_gateway::net
--- a/src/runtime/heap_meter.cpp
+++ b/src/runtime/heap_meter.cpp
@@ -21,6 +21,12 @@
   return block;
 }
 
+void* try_allocate(std::size_t size) noexcept {
+  void* block = std::malloc(size == 0 ? 1 : size);
+  if (block != nullptr) allocated_bytes.fetch_add(counted_size(block), std::memory_order_relaxed);
+  return block;
+}
+
 void count_and_free(void* block) {
   if (block == nullptr) return;
   allocated_bytes.fetch_sub(counted_size(block), std::memory_order_relaxed);
@@ -35,8 +41,11 @@
 
 }  // namespace quota_gateway::net
 
-// The other forms of both operators call these.
+// All forms that are used, because a sanitizer's own forms do not call these.
 void* operator new(std::size_t size) { return count_allocation(std::malloc(size == 0 ? 1 : size)); }
+void* operator new[](std::size_t size) { return operator new(size); }
+void* operator new(std::size_t size, const std::nothrow_t&) noexcept { return try_allocate(size); }
+void* operator new[](std::size_t size, const std::nothrow_t&) noexcept { return try_allocate(size); }
 void* operator new(std::size_t size, std::align_val_t alignment) {
   void* block = nullptr;
   if (::posix_memalign(&block, std::size_t(alignment), size == 0 ? 1 : size) != 0) block = nullptr;
@@ -44,5 +53,9 @@
 }
 void operator delete(void* block) noexcept { count_and_free(block); }
 void operator delete(void* block, std::size_t) noexcept { count_and_free(block); }
+void operator delete[](void* block) noexcept { count_and_free(block); }
+void operator delete[](void* block, std::size_t) noexcept { count_and_free(block); }
+void operator delete(void* block, const std::nothrow_t&) noexcept { count_and_free(block); }
+void operator delete[](void* block, const std::nothrow_t&) noexcept { count_and_free(block); }
 void operator delete(void* block, std::align_val_t) noexcept { count_and_free(block); }
 void operator delete(void* block, std::size_t, std::align_val_t) noexcept { count_and_free(block); }
--- a/tests/client/last_byte_estimator_test.cpp
+++ b/tests/client/last_byte_estimator_test.cpp
@@ -47,5 +47,19 @@
   EXPECT_EQ(estimator.last_byte_pending_since(), 3 * kStep);
 }
 
+TEST(LastByteEstimator, EmptySocketAfterSuspensionIsNoProofWhenMoreArrivesAtOnce) {
+  LastByteEstimator estimator;
+  estimator.on_all_read(kStep);
+  estimator.on_read_suspended();
+  estimator.on_all_read(500 * kStep);
+  estimator.on_readable(500 * kStep + 100);
+  EXPECT_EQ(estimator.last_byte_pending_since(), kStep);
+  estimator.on_all_read(600 * kStep);
+  estimator.on_nothing_unread(600 * kStep + 100);
+  EXPECT_EQ(estimator.last_byte_pending_since(), kStep);
+  estimator.on_nothing_unread(602 * kStep);
+  EXPECT_EQ(estimator.last_byte_pending_since(), 602 * kStep);
+}
+
 }  // namespace
 }  // namespace quota_gateway::net::testing
