Take a pause for proof of an incomplete body only if nothing is unread

Cause: a pause in which less than 32 KiB was unread counted as one with an open window. The window can be closed with less unread: a segment of the loopback interface holds 64 KB, and the receiver opens its window only by whole segments. What the client's kernel had held back then looked like newly sent.

Change: a pause counts only if nothing is unread.

--- a/src/client/last_byte_estimator.cpp
+++ b/src/client/last_byte_estimator.cpp
@@ -8,8 +8,6 @@
 // Upper limit for the part of a body that the send buffer of the client's kernel may still hold after the
 // client has written all of it.
 constexpr std::size_t kMaxClientSendBuffer = 4 << 20;  // bytes
-// While less than this is unread, the receive window is open, and the client's kernel holds nothing back.
-constexpr std::size_t kOpenWindowUnreadBytes = 32 << 10;
 // What the client's kernel holds back while the window is closed arrives within this time after it has
 // opened.
 constexpr Duration kMinQuietTime = 5'000;  // us
@@ -45,8 +43,7 @@
 void LastByteEstimator::update_chunked(const Observation& observation) {
   const std::uint64_t received = observation.received_bytes;
   if (previous_ && received > previous_->received_bytes && was_quiet_) advance_to(previous_->at);
-  was_quiet_ =
-      previous_ && received == previous_->received_bytes && observation.unread_bytes < kOpenWindowUnreadBytes;
+  was_quiet_ = previous_ && received == previous_->received_bytes && observation.unread_bytes == 0;
   previous_ = Sample{observation.now, received};
   // What arrived since a sample cannot all have been in the client's kernel at its time.
   while (!samples_.empty() && received - samples_.front().received_bytes > kMaxClientSendBuffer) {
--- a/src/client/last_byte_estimator.hpp
+++ b/src/client/last_byte_estimator.hpp
@@ -61,7 +61,7 @@
   std::optional<TimePoint> all_read_at_;  // nothing has arrived since
   std::vector<Sample> samples_;           // since reading was suspended, the oldest first
   std::optional<Sample> previous_;        // the latest observation
-  bool was_quiet_ = false;                // nothing had arrived before it although the window was open
+  bool was_quiet_ = false;                // nothing had arrived before it and nothing was unread
 };
 
 }  // namespace quota_gateway::net
